standin: move the stand-in out of the adapter's folder

The folder platform/ is for the adapter to the users' platform. The stand-in, its tests and its program keep their names; only folder and module path change. Tests of the module pass after the move.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := lib entry ctl platform load
+MODULES := lib entry ctl standin load
 BIN     := bin
 SEED    ?= 1
 
@@ -8,7 +8,7 @@
 	@mkdir -p $(BIN)
 	go build -o $(BIN)/anvilentry ./entry
 	go build -o $(BIN)/anvilctl ./ctl
-	go build -o $(BIN)/anvilplatform ./platform
+	go build -o $(BIN)/anvilplatform ./standin
 	go build -o $(BIN)/anvilload ./load
 
 test: all
--- a/platform/anvilagent/drain.go
+++ b/standin/anvilagent/drain.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"anvilhold.org/platform/anvilhost"
-	"anvilhold.org/platform/anvilowner"
+	"anvilhold.org/standin/anvilhost"
+	"anvilhold.org/standin/anvilowner"
 )
 
 const (
--- a/platform/anvilagent/objects.go
+++ b/standin/anvilagent/objects.go
@@ -6,8 +6,8 @@
 
 	"anvilhold.org/lib/anvilclock"
 
-	"anvilhold.org/platform/anvilhost"
-	"anvilhold.org/platform/anvilowner"
+	"anvilhold.org/standin/anvilhost"
+	"anvilhold.org/standin/anvilowner"
 )
 
 // objectTimeout bounds a request to the object store. It is below the default lease of 8,000 ms, so
--- a/platform/anvilagent/trace.go
+++ b/standin/anvilagent/trace.go
@@ -7,7 +7,7 @@
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilsize"
 
-	"anvilhold.org/platform/anvilhost"
+	"anvilhold.org/standin/anvilhost"
 )
 
 // line is one line of the trace.
--- a/platform/anvilagent/trace_test.go
+++ b/standin/anvilagent/trace_test.go
@@ -8,7 +8,7 @@
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilsize"
 
-	"anvilhold.org/platform/anvilhost"
+	"anvilhold.org/standin/anvilhost"
 )
 
 // idle is an object store without objects and an alarm that fails the test.
--- a/platform/anvilapi/fixture_test.go
+++ b/standin/anvilapi/fixture_test.go
@@ -15,9 +15,9 @@
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilsize"
 
-	"anvilhold.org/platform/anvilhost"
-	"anvilhold.org/platform/anvilhub"
-	"anvilhold.org/platform/anvilowner"
+	"anvilhold.org/standin/anvilhost"
+	"anvilhold.org/standin/anvilhub"
+	"anvilhold.org/standin/anvilowner"
 )
 
 // site is a server on loopback with its owner goroutine.
--- a/platform/anvilapi/gate.go
+++ b/standin/anvilapi/gate.go
@@ -7,9 +7,9 @@
 	"anvilhold.org/lib/anvilerror"
 	"anvilhold.org/lib/anvilwire"
 
-	"anvilhold.org/platform/anvilfault"
-	"anvilhold.org/platform/anvilhub"
-	"anvilhold.org/platform/anvilowner"
+	"anvilhold.org/standin/anvilfault"
+	"anvilhold.org/standin/anvilhub"
+	"anvilhold.org/standin/anvilowner"
 )
 
 // regionHeader names the region of the caller.
--- a/platform/anvilapi/hub.go
+++ b/standin/anvilapi/hub.go
@@ -7,11 +7,11 @@
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilwire"
 
-	"anvilhold.org/platform/anvilfault"
-	"anvilhold.org/platform/anvilhub"
-	"anvilhold.org/platform/anvilowner"
-	"anvilhold.org/platform/anvilroster"
-	"anvilhold.org/platform/anvilstore"
+	"anvilhold.org/standin/anvilfault"
+	"anvilhold.org/standin/anvilhub"
+	"anvilhold.org/standin/anvilowner"
+	"anvilhold.org/standin/anvilroster"
+	"anvilhold.org/standin/anvilstore"
 )
 
 type hubAPI struct {
--- a/platform/anvilapi/hub_messages.go
+++ b/standin/anvilapi/hub_messages.go
@@ -1,10 +1,10 @@
 package anvilapi
 
 import (
-	"anvilhold.org/platform/anvilfault"
-	"anvilhold.org/platform/anvilhub"
-	"anvilhold.org/platform/anvilroster"
-	"anvilhold.org/platform/anvilstore"
+	"anvilhold.org/standin/anvilfault"
+	"anvilhold.org/standin/anvilhub"
+	"anvilhold.org/standin/anvilroster"
+	"anvilhold.org/standin/anvilstore"
 )
 
 // Messages of the platform's handlers to the goroutine that owns the hub. Each reply channel has
--- a/platform/anvilapi/hub_test.go
+++ b/standin/anvilapi/hub_test.go
@@ -7,7 +7,7 @@
 
 	"anvilhold.org/lib/anvilwire"
 
-	"anvilhold.org/platform/anvilstore"
+	"anvilhold.org/standin/anvilstore"
 )
 
 const putRow = `{"change":"c1","checks":[{"key":"k/a"}],"puts":[{"key":"k/a","value":"aGk="}]}`
--- a/platform/anvilapi/worker.go
+++ b/standin/anvilapi/worker.go
@@ -6,8 +6,8 @@
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilwire"
 
-	"anvilhold.org/platform/anvilhost"
-	"anvilhold.org/platform/anvilowner"
+	"anvilhold.org/standin/anvilhost"
+	"anvilhold.org/standin/anvilowner"
 )
 
 type workerAPI struct {
--- a/platform/anvilapi/worker_messages.go
+++ b/standin/anvilapi/worker_messages.go
@@ -4,7 +4,7 @@
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilsize"
 
-	"anvilhold.org/platform/anvilhost"
+	"anvilhold.org/standin/anvilhost"
 )
 
 // Messages of the worker's handlers to the goroutine that owns the host. Each reply channel has
--- a/platform/anvilhub/hub.go
+++ b/standin/anvilhub/hub.go
@@ -6,9 +6,9 @@
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilerror"
 
-	"anvilhold.org/platform/anvilfault"
-	"anvilhold.org/platform/anvilroster"
-	"anvilhold.org/platform/anvilstore"
+	"anvilhold.org/standin/anvilfault"
+	"anvilhold.org/standin/anvilroster"
+	"anvilhold.org/standin/anvilstore"
 )
 
 // Default rates and lag, as the platform states them.
--- a/platform/anvilhub/hub_test.go
+++ b/standin/anvilhub/hub_test.go
@@ -7,8 +7,8 @@
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilerror"
 
-	"anvilhold.org/platform/anvilfault"
-	"anvilhold.org/platform/anvilstore"
+	"anvilhold.org/standin/anvilfault"
+	"anvilhold.org/standin/anvilstore"
 )
 
 type fixedDice int
--- a/platform/serve.go
+++ b/standin/serve.go
@@ -11,9 +11,9 @@
 
 	"anvilhold.org/lib/anvilclock"
 
-	"anvilhold.org/platform/anvilapi"
-	"anvilhold.org/platform/anvilhub"
-	"anvilhold.org/platform/anvilowner"
+	"anvilhold.org/standin/anvilapi"
+	"anvilhold.org/standin/anvilhub"
+	"anvilhold.org/standin/anvilowner"
 )
 
 func init() { subcommands.Register(&serveCommand{}, "") }
--- a/platform/worker.go
+++ b/standin/worker.go
@@ -15,10 +15,10 @@
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilsize"
 
-	"anvilhold.org/platform/anvilagent"
-	"anvilhold.org/platform/anvilapi"
-	"anvilhold.org/platform/anvilhost"
-	"anvilhold.org/platform/anvilowner"
+	"anvilhold.org/standin/anvilagent"
+	"anvilhold.org/standin/anvilapi"
+	"anvilhold.org/standin/anvilhost"
+	"anvilhold.org/standin/anvilowner"
 )
 
 func init() { subcommands.Register(&workerCommand{}, "") }
