anvillistener: take the HTTP listener out of the front

The adapter to the users' platform needs the same listener: nbhttp's parser behind an accept loop that answers unreadable requests and cuts none at a stop. It moves to a package of its own, with options in place of the front's fields. The tests of anvilfront pass unchanged but for the type's name.

--- a/entry/anvilfront/front.go
+++ b/entry/anvilfront/front.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"anvilhold.org/entry/anvilcontrol"
+	"anvilhold.org/entry/anvillistener"
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilconfig"
 )
@@ -55,7 +56,7 @@
 	state      func() State
 	dispatcher Dispatcher
 	inspector  Inspector
-	certs      Certificates
+	certs      anvillistener.Certificates
 	clock      anvilclock.Clock
 	bootstrap  string
 	body       int
@@ -105,12 +106,15 @@
 // WithIdle sets how long a connection without a request stays open.
 func WithIdle(d time.Duration) Option { return func(f *Front) { f.idle = d } }
 
+// WithCertificates makes the listener use TLS; the default is plain text.
+func WithCertificates(c anvillistener.Certificates) Option { return func(f *Front) { f.certs = c } }
+
 // New returns a front end. state is called once for each request.
 func New(state func() State, dispatcher Dispatcher, opts ...Option) *Front {
 	f := &Front{
 		state: state, dispatcher: dispatcher, clock: anvilclock.NewSystem(), body: defaultBody, headers: defaultHeaders,
 		conns: defaultConns, flight: make(chan struct{}, defaultFlight), wait: defaultWait,
-		answer: answerTimeout, query: queryTimeout, idle: defaultIdle, mux: http.NewServeMux(),
+		answer: answerTimeout, query: queryTimeout, idle: anvillistener.DefaultIdle, mux: http.NewServeMux(),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -122,6 +126,29 @@
 // Handler returns the handler of all routes.
 func (f *Front) Handler() http.Handler { return f.mux }
 
+// NewServer returns a listener on addr that has not started.
+func (f *Front) NewServer(addr string) *anvillistener.Server {
+	opts := []anvillistener.Option{
+		anvillistener.WithClock(f.clock), anvillistener.WithSizes(f.body, f.headers),
+		anvillistener.WithLoad(f.conns, cap(f.flight)), anvillistener.WithIdle(f.idle), anvillistener.WithDrain(f.drain),
+		anvillistener.WithUnparsed(unparsed), anvillistener.WithRefused(func() { connections.Add("refused", 1) }),
+	}
+	if f.certs != nil {
+		opts = append(opts, anvillistener.WithCertificates(f.certs))
+	}
+	return anvillistener.New(addr, f.Handler(), opts...)
+}
+
+// unparsed returns the whole answer to a request that can't be parsed.
+func unparsed(tooLong bool) []byte {
+	out := refused(badInput("the request can't be parsed"))
+	if tooLong {
+		out = refused(tooLarge("the request is too long"))
+	}
+	count("other", out, 0)
+	return out.raw()
+}
+
 // Leave makes the health answers say that the instance is leaving.
 func (f *Front) Leave() { f.leaving.Store(true) }
 
--- a/entry/anvilfront/server_test.go
+++ b/entry/anvilfront/server_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"anvilhold.org/entry/anvilcontrol"
+	"anvilhold.org/entry/anvillistener"
 	"anvilhold.org/lib/anvilclock"
 )
 
@@ -30,7 +31,7 @@
 	return &http.Client{Transport: tr, Timeout: patience}
 }
 
-func started(t *testing.T, b *bench) *Server {
+func started(t *testing.T, b *bench) *anvillistener.Server {
 	t.Helper()
 	s := b.front.NewServer("127.0.0.1:0")
 	if err := s.Start(); err != nil {
@@ -39,7 +40,7 @@
 	return s
 }
 
-func stop(t *testing.T, s *Server) {
+func stop(t *testing.T, s *anvillistener.Server) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
--- a/entry/anvilfront/secure.go
+++ b/entry/anvillistener/secure.go
@@ -1,4 +1,4 @@
-package anvilfront
+package anvillistener
 
 import (
 	std "crypto/tls"
@@ -13,8 +13,8 @@
 	Certificate() *std.Certificate
 }
 
-// WithCertificates makes the listeners use TLS; the default is plain text.
-func WithCertificates(c Certificates) Option { return func(f *Front) { f.certs = c } }
+// WithCertificates makes the listener use TLS; the default is plain text.
+func WithCertificates(c Certificates) Option { return func(s *Server) { s.certs = c } }
 
 // secureConfig asks for the certificate at each handshake. nbhttp needs the copy of the standard
 // library's TLS that doesn't block on reads.
--- a/entry/anvilfront/server.go
+++ b/entry/anvillistener/server.go
@@ -1,4 +1,5 @@
-package anvilfront
+// Package anvillistener accepts HTTP connections with nbhttp and stops without cutting a request.
+package anvillistener
 
 import (
 	"context"
@@ -20,8 +21,8 @@
 	// spareHandlers answer health requests and refuse requests over the bound while all requests
 	// in flight wait.
 	spareHandlers = 64
-	// defaultIdle is above the idle timeouts usual for load balancers, which must close first.
-	defaultIdle  = 75 * time.Second
+	// DefaultIdle is above the idle timeouts usual for load balancers, which must close first.
+	DefaultIdle  = 75 * time.Second
 	writeTimeout = 10 * time.Second
 	// parserSlack is for the first line and the framing of a request, so that a request at its
 	// bounds reaches the handler.
@@ -34,21 +35,30 @@
 	quietTime anvilclock.Millis = 1000
 )
 
-// Server is the listener for callers and operators. It accepts connections itself and parses them
-// with nbhttp, because the listener of nbhttp closes connections whose requests it can't parse
-// without an answer, and at its stop those whose answers are still being written.
+// Server is a listener. It accepts connections itself and parses them with nbhttp, because the listener
+// of nbhttp closes connections whose requests it can't parse without an answer, and at its stop those
+// whose answers are still being written.
 type Server struct {
 	addr     string
-	front    *Front
+	handler  http.Handler
+	clock    anvilclock.Clock
+	body     int
+	headers  int
+	conns    int
+	flight   int
+	idle     time.Duration
+	drain    func(context.Context) error
+	unparsed func(tooLong bool) []byte
+	refused  func()
+	certs    Certificates
 	engine   *nbhttp.Engine
 	listener net.Listener
 	accepted sync.WaitGroup
 	tls      *tls.Config
-
-	mu      sync.Mutex
-	conns   map[string]link
-	stopped bool
-	empty   chan struct{}
+	mu       sync.Mutex
+	open     map[string]link
+	stopped  bool
+	empty    chan struct{}
 }
 
 // link is a connection of a caller and the time of its last request.
@@ -57,17 +67,62 @@
 	used anvilclock.Millis
 }
 
-// NewServer returns a listener on addr that has not started.
-func (f *Front) NewServer(addr string) *Server {
+// Defaults of the bounds.
+const (
+	defaultBody    = 1 << 20
+	defaultHeaders = 16 << 10
+	defaultConns   = 2000
+	defaultFlight  = 1000
+)
+
+// Option sets an optional part of a Server.
+type Option func(*Server)
+
+// WithClock replaces the system clock.
+func WithClock(c anvilclock.Clock) Option { return func(s *Server) { s.clock = c } }
+
+// WithSizes bounds a body and the headers of a request in bytes.
+func WithSizes(body, headers int) Option {
+	return func(s *Server) { s.body, s.headers = body, headers }
+}
+
+// WithLoad bounds connections and requests that are worked on.
+func WithLoad(conns, flight int) Option { return func(s *Server) { s.conns, s.flight = conns, flight } }
+
+// WithIdle sets how long a connection without a request stays open.
+func WithIdle(d time.Duration) Option { return func(s *Server) { s.idle = d } }
+
+// WithDrain sets what waits for the requests in flight at a stop.
+func WithDrain(f func(context.Context) error) Option { return func(s *Server) { s.drain = f } }
+
+// WithUnparsed sets the whole answer to a request that can't be parsed.
+func WithUnparsed(f func(tooLong bool) []byte) Option { return func(s *Server) { s.unparsed = f } }
+
+// WithRefused sets what is called for each connection over the bound.
+func WithRefused(f func()) Option { return func(s *Server) { s.refused = f } }
+
+// New returns a listener on addr that has not started.
+func New(addr string, handler http.Handler, opts ...Option) *Server {
 	// The library logs to standard output; what matters is counted or returned.
 	logging.SetLevel(logging.LevelNone)
-	s := &Server{addr: addr, front: f, conns: map[string]link{}, empty: make(chan struct{})}
-	if f.certs != nil {
-		s.tls = secureConfig(f.certs)
+	s := &Server{
+		addr: addr, handler: handler, clock: anvilclock.NewSystem(), body: defaultBody, headers: defaultHeaders,
+		conns: defaultConns, flight: defaultFlight, idle: DefaultIdle, open: map[string]link{}, empty: make(chan struct{}),
+		drain: func(context.Context) error { return nil },
+		unparsed: func(bool) []byte {
+			return []byte("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		},
+		refused: func() {},
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	if s.certs != nil {
+		s.tls = secureConfig(s.certs)
 	}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Network: "tcp", Handler: s.busy(f.Handler()), MaxHTTPBodySize: f.body + 1, ReadLimit: f.body + f.headers + parserSlack,
-		MessageHandlerPoolSize: cap(f.flight) + spareHandlers, KeepaliveTime: f.idle, WriteTimeout: writeTimeout,
+		Network: "tcp", Handler: s.busy(handler), MaxHTTPBodySize: s.body + 1, ReadLimit: s.body + s.headers + parserSlack,
+		MessageHandlerPoolSize: s.flight + spareHandlers, KeepaliveTime: s.idle, WriteTimeout: writeTimeout,
 	})
 	s.engine.OnClose(func(c net.Conn, _ error) { s.forget(c) })
 	return s
@@ -112,7 +167,7 @@
 
 func (s *Server) adopt(raw net.Conn) {
 	if !s.remember(raw) {
-		connections.Add("refused", 1)
+		s.refused()
 		_ = raw.Close()
 		return
 	}
@@ -142,7 +197,7 @@
 		_ = c.Close()
 		return
 	}
-	_ = c.SetReadDeadline(time.Now().Add(s.front.idle))
+	_ = c.SetReadDeadline(time.Now().Add(s.idle))
 }
 
 // unreadable answers a request that can't be parsed, after the answers to the requests before it,
@@ -150,12 +205,8 @@
 func (s *Server) unreadable(c *nbio.Conn, err error) {
 	c.OnData(func(*nbio.Conn, []byte) {})
 	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
-	out := refused(badInput("the request can't be parsed"))
-	if errors.Is(err, nbhttp.ErrTooLong) {
-		out = refused(tooLarge("the request is too long"))
-	}
-	count("other", out, 0)
-	c.MustExecute(func() { _, _ = c.Write(out.raw()) })
+	out := s.unparsed(errors.Is(err, nbhttp.ErrTooLong))
+	c.MustExecute(func() { _, _ = c.Write(out) })
 }
 
 // remember counts a connection and reports whether there was room for it. A known one is replaced by
@@ -164,10 +215,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	addr := c.RemoteAddr().String()
-	if _, known := s.conns[addr]; !known && (s.stopped || len(s.conns) >= s.front.conns) {
+	if _, known := s.open[addr]; !known && (s.stopped || len(s.open) >= s.conns) {
 		return false
 	}
-	s.conns[addr] = link{conn: c, used: s.front.clock.Now()}
+	s.open[addr] = link{conn: c, used: s.clock.Now()}
 	return true
 }
 
@@ -176,9 +227,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	addr := c.RemoteAddr().String()
-	if l, ok := s.conns[addr]; ok {
-		l.used = s.front.clock.Now()
-		s.conns[addr] = l
+	if l, ok := s.open[addr]; ok {
+		l.used = s.clock.Now()
+		s.open[addr] = l
 	}
 }
 
@@ -186,15 +237,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// The address may belong to a newer connection already.
-	if addr := c.RemoteAddr().String(); s.conns[addr].conn == c {
-		delete(s.conns, addr)
+	if addr := c.RemoteAddr().String(); s.open[addr].conn == c {
+		delete(s.open, addr)
 		s.signal()
 	}
 }
 
 // signal closes empty once the stopped listener has no connection left. The caller holds mu.
 func (s *Server) signal() {
-	if !s.stopped || len(s.conns) > 0 {
+	if !s.stopped || len(s.open) > 0 {
 		return
 	}
 	select {
@@ -209,7 +260,7 @@
 func (s *Server) Stop(ctx context.Context) error {
 	err := s.listener.Close()
 	s.accepted.Wait()
-	err = errors.Join(err, s.front.drain(ctx))
+	err = errors.Join(err, s.drain(ctx))
 	for _, c := range s.quiet() {
 		_ = c.Close()
 	}
@@ -227,9 +278,9 @@
 	defer s.mu.Unlock()
 	s.stopped = true
 	s.signal()
-	now := s.front.clock.Now()
+	now := s.clock.Now()
 	var out []net.Conn
-	for _, l := range s.conns {
+	for _, l := range s.open {
 		if now-l.used >= quietTime {
 			out = append(out, l.conn)
 		}
@@ -242,7 +293,7 @@
 func (s *Server) busy(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		l := s.conns[r.RemoteAddr]
+		l := s.open[r.RemoteAddr]
 		s.mu.Unlock()
 		if l.conn != nil {
 			_ = l.conn.SetReadDeadline(time.Time{})
--- a/entry/node.go
+++ b/entry/node.go
@@ -18,6 +18,7 @@
 	"anvilhold.org/entry/anvilcert"
 	"anvilhold.org/entry/anvilcontrol"
 	"anvilhold.org/entry/anvilfront"
+	"anvilhold.org/entry/anvillistener"
 	"anvilhold.org/entry/anvilmetric"
 	"anvilhold.org/entry/anvilpeer"
 	"anvilhold.org/entry/anvilsetting"
@@ -36,7 +37,7 @@
 	backends *anvilbackend.Backends
 	peers    *anvilpeer.Peers
 	front    *anvilfront.Front
-	callers  *anvilfront.Server
+	callers  *anvillistener.Server
 	server   *anvilpeer.Server
 	self     anvilcontrol.Identity
 	certs    *anvilcert.Files
