--- /dev/null
+++ b/entry/anvilintake/intake.go
@@ -0,0 +1,416 @@
+// Package anvilintake decides on the calls of callers about jobs: it stores submissions and cancellations,
+// and answers questions from the states that the instance follows.
+package anvilintake
+
+import (
+	"context"
+	"time"
+
+	"anvilhold.org/entry/anvilscheduler"
+	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anvilevent"
+	"anvilhold.org/lib/anviljob"
+	"anvilhold.org/lib/anvilpolicy"
+)
+
+// Store commits transactions and reads single rows. Errors are of type *anvilstorage.Error.
+type Store interface {
+	Commit(ctx context.Context, tx *anvilstorage.Tx) (anvilstorage.Receipt, error)
+	Get(ctx context.Context, table anvilstorage.Table, key string) (anvilstorage.Row, error)
+	Now() anvilclock.Millis
+}
+
+// Control is the part of the control loop that calls need.
+type Control interface {
+	View() *anvilscheduler.View
+	Directory() *anvilscheduler.Directory
+	Learn(page anvilstorage.PolicyPage)
+	Clock() anvilclock.Clock
+}
+
+// Meter counts and measures.
+type Meter interface {
+	Count(name string)
+	Observe(name string, d time.Duration)
+}
+
+// Intake decides on calls. It is safe for concurrent use.
+type Intake struct {
+	store   Store
+	control Control
+	log     *anvilevent.Log
+	meter   Meter
+}
+
+// New returns an intake.
+func New(store Store, control Control, log *anvilevent.Log, meter Meter) *Intake {
+	return &Intake{store: store, control: control, log: log, meter: meter}
+}
+
+// Timing.
+const (
+	// freshness is the greatest age of the configuration under which calls with a key are answered from
+	// memory. A key that was taken away must stop working within 5 s.
+	freshness = anvilclock.Millis(3000)
+	// commitTimeout bounds one try to store a submission.
+	commitTimeout = 700 * time.Millisecond
+	// retryPause is the pause between two tries.
+	retryPause = 40 * time.Millisecond
+	// defaultDeadline bounds a call that names no deadline.
+	defaultDeadline = 3 * time.Second
+	// answerReserve is kept of a caller's deadline for the way of the answer.
+	answerReserve = 120 * time.Millisecond
+	// retryAfter is when a refused caller should come back.
+	retryAfter = anvilclock.Millis(1000)
+	// shedAfter is the longest that a refused call may have waited for the store.
+	shedAfter = 2 * time.Second
+)
+
+// Result is what becomes of a call.
+type Result int
+
+// The results.
+const (
+	Accepted     Result = iota // the submission or cancellation is stored
+	Answered                   // the state or count is known
+	Refused                    // nothing was done, and nothing will be
+	Unknown                    // it may have been done
+	NoQueue                    // there is no such queue
+	NoJob                      // there is no such job
+	Unauthorized               // the key is not known
+	Invalid                    // the call can't be read or can never be carried out
+)
+
+var resultNames = [...]string{"accepted", "answered", "refused", "unknown", "no queue", "no job", "unauthorized", "invalid"}
+
+// String returns the name of the result.
+func (r Result) String() string { return resultNames[r] }
+
+// Reply is the answer to a call.
+type Reply struct {
+	result  Result
+	reason  string
+	state   anviljob.State
+	waiting int
+	retry   anvilclock.Millis
+}
+
+// Result returns what became of the call.
+func (r Reply) Result() Result { return r.result }
+
+// Reason returns a line for people; empty for success.
+func (r Reply) Reason() string { return r.reason }
+
+// State returns the state of the job.
+func (r Reply) State() anviljob.State { return r.state }
+
+// Waiting returns the number of jobs that have not begun.
+func (r Reply) Waiting() int { return r.waiting }
+
+// Retry returns when a refused caller should come back.
+func (r Reply) Retry() anvilclock.Millis { return r.retry }
+
+// Call says who asks what.
+type Call struct {
+	host string
+	path string
+	key  string
+}
+
+// NewCall returns a call to a host and path with a key; the key may be empty.
+func NewCall(host, path, key string) Call { return Call{host: host, path: path, key: key} }
+
+// admission is a call whose queue and key were found.
+type admission struct {
+	view  *anvilscheduler.View
+	queue anvilpolicy.Queue
+	team  string
+	id    string
+}
+
+func refuse(reason string) *Reply { return &Reply{result: Refused, reason: reason, retry: retryAfter} }
+
+// admit finds the queue and the team of a call, or why it is not admitted.
+func (in *Intake) admit(c Call) (admission, *Reply) {
+	a := admission{view: in.control.View()}
+	policy := a.view.Policy()
+	if policy == nil {
+		return a, refuse("the configuration has not been read yet")
+	}
+	var ok bool
+	if a.queue, a.id, ok = policy.Route(c.host, c.path); !ok {
+		return a, &Reply{result: NoQueue, reason: "there is no queue at this host and path"}
+	}
+	if a.queue.Open() && c.key == "" {
+		return a, nil
+	}
+	if a.team, ok = policy.TeamOf(c.key); !ok && !a.queue.Open() {
+		return a, &Reply{result: Unauthorized, reason: "the key is not known"}
+	}
+	return a, nil
+}
+
+// fresh reports whether the configuration is new enough to answer from memory.
+func (in *Intake) fresh(v *anvilscheduler.View) bool {
+	return v.Confirmed() > 0 && in.control.Clock().Now()-v.Confirmed() < freshness
+}
+
+const idLength = 16
+
+func validID(id string) bool {
+	if len(id) != idLength {
+		return false
+	}
+	for _, c := range id {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+// Submit stores a job. It is accepted only under the configuration that is in force when it is stored.
+// A submission with an id that is known stays the job that it was.
+func (in *Intake) Submit(ctx context.Context, c Call, spec *anviljob.Spec) Reply {
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, remaining(ctx))
+	defer cancel()
+	doubtful := false
+	for {
+		reply, again := in.submitOnce(ctx, c, spec, &doubtful)
+		if !again {
+			if reply.result == Refused && doubtful {
+				reply = Reply{result: Unknown, reason: reply.reason}
+			}
+			in.note("submit", c, reply, begin)
+			return reply
+		}
+		if !doubtful && time.Since(begin) > shedAfter {
+			reply := *refuse("the store does not take submissions")
+			in.note("submit", c, reply, begin)
+			return reply
+		}
+		select {
+		case <-time.After(retryPause):
+		case <-ctx.Done():
+			reply := *refuse("the store does not answer")
+			if doubtful {
+				reply = Reply{result: Unknown, reason: "the store does not answer"}
+			}
+			in.note("submit", c, reply, begin)
+			return reply
+		}
+	}
+}
+
+// submitOnce tries once to store a submission, and reports whether another try may help.
+func (in *Intake) submitOnce(ctx context.Context, c Call, spec *anviljob.Spec, doubtful *bool) (Reply, bool) {
+	a, not := in.admit(c)
+	if not != nil {
+		return *not, false
+	}
+	if !validID(a.id) {
+		return Reply{result: Invalid, reason: "the id is not 16 hexadecimal digits"}, false
+	}
+	if _, ok := in.control.Directory().Find(a.id); ok && in.fresh(a.view) {
+		return Reply{result: Accepted}, false
+	}
+	sub := anviljob.NewSubmission(a.id, a.queue.Name(), a.team, in.store.Now(), spec)
+	state := anvilstorage.NewJobState(a.id, a.queue.Name(), a.team, anviljob.Queued, 0)
+	tx, err := submission(sub, state, a.view.Row())
+	if err != nil {
+		return Reply{result: Invalid, reason: err.Error()}, false
+	}
+	try, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	receipt, err := in.store.Commit(try, tx)
+	if err == nil {
+		in.control.Directory().Put(state, receipt.Version())
+		return Reply{result: Accepted}, false
+	}
+	e := anvilstorage.As(err)
+	switch e.Kind() {
+	case anvilstorage.Conflict:
+		if e.Row(anvilstorage.States, a.id).Version() != 0 {
+			return Reply{result: Accepted}, false
+		}
+		if p := e.Policy(); p != nil {
+			in.control.Learn(*p)
+		}
+	case anvilstorage.Unknown:
+		*doubtful = true
+	default:
+	}
+	return Reply{}, true
+}
+
+// submission returns the transaction that stores a job, if its id is new and the configuration has not
+// changed since it was read.
+func submission(sub *anviljob.Submission, state anvilstorage.JobState, policy int64) (*anvilstorage.Tx, error) {
+	intake, err := anvilstorage.SubmissionRow(sub)
+	if err != nil {
+		return nil, err
+	}
+	states, err := anvilstorage.StateRow(state)
+	if err != nil {
+		return nil, err
+	}
+	tx := &anvilstorage.Tx{}
+	tx.ExpectPolicy(policy)
+	tx.Expect(anvilstorage.States, sub.ID(), 0)
+	tx.Set(intake)
+	tx.Set(states)
+	return tx, nil
+}
+
+// remaining returns how long a call may take.
+func remaining(ctx context.Context) time.Duration {
+	at, ok := ctx.Deadline()
+	if !ok {
+		return defaultDeadline - answerReserve
+	}
+	return max(time.Until(at)-answerReserve, answerReserve)
+}
+
+// find returns the state of a job, from memory or from the store.
+func (in *Intake) find(ctx context.Context, a admission) (anvilstorage.JobState, *Reply) {
+	if s, ok := in.control.Directory().Find(a.id); ok {
+		return s, nil
+	}
+	row, err := in.store.Get(ctx, anvilstorage.States, a.id)
+	if err != nil {
+		return anvilstorage.JobState{}, refuse("the store does not answer")
+	}
+	if row.Version() == 0 {
+		return anvilstorage.JobState{}, &Reply{result: NoJob, reason: "there is no such job"}
+	}
+	s, err := anvilstorage.ParseState(row)
+	if err != nil {
+		in.log.Fault(anvilevent.RowUnreadable, err, "table", string(anvilstorage.States), "key", a.id)
+		return s, refuse("the job's state can't be read")
+	}
+	in.control.Directory().Put(s, row.Version())
+	return s, nil
+}
+
+// owned finds a job that belongs to the caller.
+func (in *Intake) owned(ctx context.Context, c Call) (admission, anvilstorage.JobState, *Reply) {
+	a, not := in.admit(c)
+	if not != nil {
+		return a, anvilstorage.JobState{}, not
+	}
+	if !in.fresh(a.view) {
+		return a, anvilstorage.JobState{}, refuse("the configuration can't be confirmed")
+	}
+	if !validID(a.id) {
+		return a, anvilstorage.JobState{}, &Reply{result: NoJob, reason: "there is no such job"}
+	}
+	s, not := in.find(ctx, a)
+	if not == nil && (s.Queue() != a.queue.Name() || s.Team() != a.team) {
+		not = &Reply{result: NoJob, reason: "there is no such job"}
+	}
+	return a, s, not
+}
+
+// State returns the state of a job.
+func (in *Intake) State(ctx context.Context, c Call) Reply {
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, remaining(ctx))
+	defer cancel()
+	_, s, not := in.owned(ctx, c)
+	reply := Reply{result: Answered, state: s.State()}
+	if not != nil {
+		reply = *not
+	}
+	in.note("state", c, reply, begin)
+	return reply
+}
+
+// Waiting returns how many jobs of a queue have not begun.
+func (in *Intake) Waiting(c Call) Reply {
+	begin := time.Now()
+	a, not := in.admit(c)
+	var reply Reply
+	switch {
+	case not != nil:
+		reply = *not
+	case !in.fresh(a.view) || !a.view.Synced():
+		reply = *refuse("the states of jobs can't be confirmed")
+	default:
+		reply = Reply{result: Answered, waiting: in.control.Directory().Waiting(a.queue.Name())}
+	}
+	in.note("waiting", c, reply, begin)
+	return reply
+}
+
+// Listing reports whether the path of a call names a queue and no job.
+func (in *Intake) Listing(c Call) bool {
+	a, not := in.admit(c)
+	return not == nil && a.id == ""
+}
+
+// Cancel stores the cancellation of a job.
+func (in *Intake) Cancel(ctx context.Context, c Call) Reply {
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, remaining(ctx))
+	defer cancel()
+	reply, again := in.cancelOnce(ctx, c)
+	for again {
+		select {
+		case <-time.After(retryPause):
+			reply, again = in.cancelOnce(ctx, c)
+		case <-ctx.Done():
+			reply, again = Reply{result: Unknown, reason: "the store does not answer"}, false
+		}
+	}
+	in.note("cancel", c, reply, begin)
+	return reply
+}
+
+// cancelOnce tries once to store a cancellation, and reports whether another try may help.
+func (in *Intake) cancelOnce(ctx context.Context, c Call) (Reply, bool) {
+	a, s, not := in.owned(ctx, c)
+	if not != nil {
+		return *not, false
+	}
+	if s.State().Ended() {
+		return Reply{result: Accepted}, false
+	}
+	tx := &anvilstorage.Tx{}
+	tx.ExpectPolicy(a.view.Row())
+	tx.Set(anvilstorage.NewRow(anvilstorage.Intake, anvilstorage.CancelKey(a.id), []byte("{}")))
+	try, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	_, err := in.store.Commit(try, tx)
+	if err == nil {
+		return Reply{result: Accepted}, false
+	}
+	if p := anvilstorage.As(err).Policy(); p != nil {
+		in.control.Learn(*p)
+	}
+	return Reply{}, true
+}
+
+// note logs and counts a call. Answers with a state are only counted: callers ask again and again.
+func (in *Intake) note(what string, c Call, r Reply, begin time.Time) {
+	took := time.Since(begin)
+	in.meter.Count("call." + what + "." + r.result.String())
+	in.meter.Observe("call."+what, took)
+	event := anvilevent.JobAnswered
+	switch {
+	case r.result == Answered:
+		return
+	case what == "submit" && r.result == Accepted:
+		event = anvilevent.JobAccepted
+	case what == "submit":
+		event = anvilevent.JobRefused
+	}
+	v := in.control.View()
+	version := int64(0)
+	if v.Policy() != nil {
+		version = v.Policy().Version()
+	}
+	in.log.Record(event, "call", what, "path", c.path, "result", r.result.String(), "reason", r.reason,
+		"took", took.Milliseconds(), "policy", version, "age", int64(in.control.Clock().Now()-v.Confirmed()))
+}
--- /dev/null
+++ b/entry/anvilscheduler/ask.go
@@ -0,0 +1,192 @@
+package anvilscheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anvilevent"
+)
+
+// tickets is what the advisor has said about a stage. Which workers it approves does not change; the
+// tickets lapse.
+type tickets struct {
+	asked  bool
+	asking bool
+	again  anvilclock.Millis
+	byID   map[string]ticket
+	seen   int
+}
+
+type ticket struct {
+	text  string
+	until anvilclock.Millis
+}
+
+func (t *tickets) approved(worker string) bool {
+	_, ok := t.byID[worker]
+	return ok
+}
+
+func (t *tickets) valid(worker string, at anvilclock.Millis) bool { return t.byID[worker].until > at }
+
+func (t *tickets) text(worker string) string { return t.byID[worker].text }
+
+// drop makes a ticket that was refused invalid.
+func (t *tickets) drop(worker string) {
+	if k, ok := t.byID[worker]; ok {
+		k.until = 0
+		t.byID[worker] = k
+	}
+}
+
+// asking is who can ask the advisor. It takes one question at a time from each instance.
+type asking struct {
+	askers map[string]*asker
+}
+
+type asker struct {
+	instance anvilstorage.Instance
+	busy     bool
+	rest     anvilclock.Millis
+	self     bool
+}
+
+func newAsking(self anvilstorage.Instance) asking {
+	return asking{askers: map[string]*asker{self.Name(): {instance: self, self: true}}}
+}
+
+func (a *asking) add(in anvilstorage.Instance) {
+	if old := a.askers[in.Name()]; old != nil && old.instance.Addr() == in.Addr() {
+		return
+	}
+	a.askers[in.Name()] = &asker{instance: in}
+}
+
+func (a *asking) remove(name string) {
+	if k := a.askers[name]; k != nil && !k.self {
+		delete(a.askers, name)
+	}
+}
+
+// free returns the instances that can ask now, in a fixed order.
+func (a *asking) free(now anvilclock.Millis) []*asker {
+	var out []*asker
+	for _, k := range a.askers {
+		if !k.busy && now >= k.rest {
+			out = append(out, k)
+		}
+	}
+	slices.SortFunc(out, func(a, b *asker) int {
+		return cmp.Or(cmp.Compare(a.rest, b.rest), cmpString(a.instance.Name(), b.instance.Name()))
+	})
+	return out
+}
+
+// askForTickets has the instances that are free ask about the most urgent stages that lack tickets.
+func (l *Loop) askForTickets(list []candidate, now anvilclock.Millis) {
+	free := l.asking.free(now)
+	for _, c := range list {
+		if len(free) == 0 {
+			return
+		}
+		tk := &c.s.tickets
+		if !c.queue.Advice().Needed() || tk.asking || now < tk.again {
+			continue
+		}
+		names := l.toAsk(c, now)
+		if len(names) == 0 {
+			continue
+		}
+		l.ask(c, names, free[0], now)
+		free = free[1:]
+	}
+}
+
+// toAsk returns the workers about which a stage must ask: at first all that could run it, later those of
+// the approved ones that have room and whose tickets are about to lapse.
+func (l *Loop) toAsk(c candidate, now anvilclock.Millis) []string {
+	s := c.s
+	var out []string
+	for _, w := range l.fleet.pools[c.queue.Pool()] {
+		if len(out) == askWorkers {
+			break
+		}
+		if w.listed.draining || w.machine.State() != workerReady || !w.labelled(s.step.Label()) || !s.step.Room().Fits(w.listed.capacity) {
+			continue
+		}
+		if !s.tickets.asked {
+			out = append(out, w.id())
+			continue
+		}
+		cost := c.queue.Advice().Cost(len(s.tasks))
+		if !s.tickets.approved(w.id()) || s.tickets.valid(w.id(), now+ticketMargin+cost) {
+			continue
+		}
+		if s.step.Room().Fits(w.free()) || l.freesWithin(w, s, now, cost) {
+			out = append(out, w.id())
+		}
+	}
+	if s.tickets.asked && s.step.Gang() && len(out) == 0 {
+		return nil
+	}
+	return out
+}
+
+// freesWithin reports whether a worker will probably have room for a task of a stage soon.
+func (l *Loop) freesWithin(w *worker, s *stage, now, soon anvilclock.Millis) bool {
+	p := &placing{loop: l, now: now}
+	slots := p.frees(w, s)
+	return len(slots) > 0 && slots[0] <= now+soon
+}
+
+func (l *Loop) ask(c candidate, names []string, k *asker, now anvilclock.Millis) {
+	s := c.s
+	cost := c.queue.Advice().Cost(len(names))
+	s.tickets.asking, k.busy = true, true
+	addr := k.instance.Addr()
+	if k.self {
+		addr = ""
+	}
+	m := advised{token: l.tenure.token, s: s, asker: k, sent: now, cost: cost, first: !s.tickets.asked}
+	ctx, advisors, step := l.tenureContext(), l.advisors, s.name()
+	go func() {
+		ctx, cancel := withTimeout(ctx, cost+askMargin)
+		defer cancel()
+		m.advice, m.err = advisors.Ask(ctx, addr, step, names)
+		l.post(m)
+	}()
+	l.meter.Count("advice.asked")
+}
+
+func (m advised) deliver(l *Loop) {
+	if m.token != l.tenure.token {
+		return
+	}
+	now := l.clock.Now()
+	s := m.s
+	s.tickets.asking, m.asker.busy = false, false
+	l.wake()
+	if m.err != nil {
+		m.asker.rest = now + askRest
+		if m.asker.self {
+			m.asker.rest = now + askRetry
+		}
+		s.tickets.again = now + askRetry
+		l.log.Record(anvilevent.AdviceFailed, "step", s.name(), "instance", m.asker.instance.Name(), "error", m.err.Error())
+		l.meter.Count("advice.failed")
+		return
+	}
+	s.tickets.asked = true
+	if s.tickets.byID == nil {
+		s.tickets.byID = map[string]ticket{}
+	}
+	for _, t := range m.advice.Tickets() {
+		s.tickets.byID[t.Worker()] = ticket{text: t.Text(), until: now + m.advice.Validity()}
+	}
+	s.tickets.again = now + askRetry
+	l.log.Record(anvilevent.AdviceGiven, "step", s.name(), "instance", m.asker.instance.Name(),
+		"approved", len(m.advice.Tickets()), "took", int64(now-m.sent))
+	l.meter.Observe("advice", (now - m.sent).Duration())
+}
--- /dev/null
+++ b/entry/anvilscheduler/charts.go
@@ -0,0 +1,83 @@
+package anvilscheduler
+
+import (
+	"embed"
+	"errors"
+	"fmt"
+
+	"anvilhold.org/lib/anvilchart"
+	"anvilhold.org/lib/anvilevent"
+)
+
+//go:embed charts/*.toml
+var chartFiles embed.FS
+
+// charts connects the state charts with the actions and guards of this package.
+type charts struct {
+	tenure *anvilchart.Chart
+	worker *anvilchart.Chart
+	task   *anvilchart.Chart
+	job    *anvilchart.Chart
+
+	tenureBinding *anvilchart.Binding[*Loop]
+	workerBinding *anvilchart.Binding[*worker]
+	taskBinding   *anvilchart.Binding[*task]
+	jobBinding    *anvilchart.Binding[*job]
+}
+
+// ChartNames lists the state charts.
+func ChartNames() []string { return []string{"tenure", "worker", "task", "job"} }
+
+// ChartText returns the file of a chart.
+func ChartText(name string) (string, error) {
+	b, err := chartFiles.ReadFile("charts/" + name + ".toml")
+	if err != nil {
+		return "", fmt.Errorf("no chart %q: %w", name, err)
+	}
+	return string(b), nil
+}
+
+func loadChart(name string, names anvilchart.Names) (*anvilchart.Chart, error) {
+	text, err := ChartText(name)
+	if err != nil {
+		return nil, err
+	}
+	return anvilchart.Load("charts/"+name+".toml", text, names)
+}
+
+func (l *Loop) loadCharts() error {
+	c := &charts{
+		tenureBinding: l.bindTenure(), workerBinding: l.bindWorker(), taskBinding: l.bindTask(), jobBinding: l.bindJob(),
+	}
+	var errs [4]error
+	c.tenure, errs[0] = loadChart("tenure", c.tenureBinding)
+	c.worker, errs[1] = loadChart("worker", c.workerBinding)
+	c.task, errs[2] = loadChart("task", c.taskBinding)
+	c.job, errs[3] = loadChart("job", c.jobBinding)
+	l.charts = c
+	return errors.Join(errs[:]...)
+}
+
+func (l *Loop) fireTenure(event string) {
+	l.refused(anvilchart.Fire(&l.tenure.machine, l.charts.tenureBinding, event, l))
+}
+
+func (l *Loop) fireWorker(w *worker, event string) {
+	l.refused(anvilchart.Fire(&w.machine, l.charts.workerBinding, event, w))
+}
+
+func (l *Loop) fireTask(t *task, event string) {
+	l.refused(anvilchart.Fire(&t.machine, l.charts.taskBinding, event, t))
+}
+
+func (l *Loop) fireJob(j *job, event string) {
+	l.refused(anvilchart.Fire(&j.machine, l.charts.jobBinding, event, j))
+}
+
+// refused reports an event that its chart doesn't allow. The entity stays as it is.
+func (l *Loop) refused(err error) {
+	if err != nil {
+		l.log.Fault(anvilevent.ChartRefused, err)
+		l.meter.Count("chart.refused")
+	}
+}
--- /dev/null
+++ b/entry/anvilscheduler/directory.go
@@ -0,0 +1,95 @@
+package anvilscheduler
+
+import (
+	"sync"
+
+	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anviljob"
+)
+
+// Directory holds the states of jobs as this instance knows them. The control loop writes what the store
+// reports; traffic goroutines read. It is safe for concurrent use.
+type Directory struct {
+	mu      sync.RWMutex
+	jobs    map[string]known
+	waiting map[string]int
+}
+
+type known struct {
+	state   anvilstorage.JobState
+	version int64
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{jobs: map[string]known{}, waiting: map[string]int{}}
+}
+
+// Put records a state with the version of its row, unless a newer one is known.
+func (d *Directory) Put(s anvilstorage.JobState, version int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old, ok := d.jobs[s.ID()]
+	if ok && old.version >= version {
+		return
+	}
+	d.count(old.state, -1)
+	d.jobs[s.ID()] = known{state: s, version: version}
+	d.count(s, 1)
+}
+
+// Remove forgets a job whose row was removed.
+func (d *Directory) Remove(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if old, ok := d.jobs[id]; ok {
+		d.count(old.state, -1)
+		delete(d.jobs, id)
+	}
+}
+
+// Keep forgets all jobs but those of a complete reading of the store, and jobs newer than it.
+func (d *Directory) Keep(ids map[string]bool, version int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, k := range d.jobs {
+		if !ids[id] && k.version <= version {
+			d.count(k.state, -1)
+			delete(d.jobs, id)
+		}
+	}
+}
+
+func (d *Directory) count(s anvilstorage.JobState, n int) {
+	if s.State() == anviljob.Queued {
+		d.waiting[s.Queue()] += n
+	}
+}
+
+// Find returns the state of a job.
+func (d *Directory) Find(id string) (anvilstorage.JobState, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	k, ok := d.jobs[id]
+	return k.state, ok
+}
+
+// Waiting returns how many jobs of a queue have not begun.
+func (d *Directory) Waiting(queue string) int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.waiting[queue]
+}
+
+// Ended returns jobs that have ended, for the holder's cleaning.
+func (d *Directory) Ended() []anvilstorage.JobState {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var out []anvilstorage.JobState
+	for _, k := range d.jobs {
+		if k.state.State().Ended() {
+			out = append(out, k.state)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/entry/anvilscheduler/fleet.go
@@ -0,0 +1,445 @@
+package anvilscheduler
+
+import (
+	"slices"
+
+	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anvilchart"
+	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anvilevent"
+	"anvilhold.org/lib/anvilsize"
+)
+
+// fleet is what the holder knows of the workers.
+type fleet struct {
+	byID  map[string]*worker
+	pools map[string][]*worker
+}
+
+func newFleet() fleet {
+	return fleet{byID: map[string]*worker{}, pools: map[string][]*worker{}}
+}
+
+// worker is one life of a worker.
+type worker struct {
+	loop    *Loop
+	listed  Listed
+	machine anvilchart.Machine
+	used    anvilsize.Size
+	tasks   map[*task]bool
+	// clock is the worker's clock when it was last heard of, at the local time heard.
+	clock anvilclock.Millis
+	heard anvilclock.Millis
+	// lapse is the local time at which the leases of all runs have certainly ended.
+	lapse anvilclock.Millis
+	// extended is when the last order that extends leases was sent.
+	extended anvilclock.Millis
+	// seen is the last end that may be forgotten; noted is the last one that was worked off.
+	seen  int64
+	noted int64
+	told  int64
+	// holding says that a hold is on its way, asked when the last one was sent.
+	holding  bool
+	asked    anvilclock.Millis
+	failures int
+	// rest is the time up to which the worker gets no starts.
+	rest     anvilclock.Millis
+	unlisted anvilclock.Millis
+	health   health
+}
+
+// States of the worker chart that the code asks for.
+const (
+	workerUnfenced = "unfenced"
+	workerReady    = "ready"
+	workerGone     = "gone"
+)
+
+func (w *worker) id() string     { return w.listed.id }
+func (w *worker) target() Target { return Target{id: w.listed.id, addr: w.listed.addr} }
+func (w *worker) free() anvilsize.Size {
+	return w.listed.capacity.Sub(w.used)
+}
+
+// usable reports whether new runs may be bound to the worker.
+func (w *worker) usable(now anvilclock.Millis) bool {
+	return w.machine.State() == workerReady && !w.listed.draining && now >= w.rest && w.failures == 0 &&
+		(w.unlisted == 0 || now-w.unlisted < unlistedAfter)
+}
+
+// workerNow estimates the worker's clock.
+func (w *worker) workerNow(now anvilclock.Millis) anvilclock.Millis {
+	return w.clock + (now - w.heard)
+}
+
+// hear takes the worker's clock from an answer.
+func (w *worker) hear(clock, now anvilclock.Millis) {
+	if clock > 0 {
+		w.clock, w.heard = clock, now
+	}
+}
+
+// promise notes that runs may be held until a time of the worker's clock.
+func (w *worker) promise(until, now anvilclock.Millis) {
+	w.extended = now
+	ahead := max(until-w.workerNow(now), 0)
+	w.lapse = max(w.lapse, now+ahead*(100+slowClock)/100+lapseMargin)
+}
+
+func (l *Loop) leaseFor() anvilclock.Millis { return min(leaseTime, l.bounds.maxLease-leaseSlack) }
+
+func (l *Loop) bindWorker() *anvilchart.Binding[*worker] {
+	return anvilchart.NewBinding(map[string]func(*worker){
+		"adopt": func(w *worker) {
+			l.log.Record(anvilevent.WorkerAdopted, "worker", w.id(), "pool", w.listed.pool, "tasks", len(w.tasks))
+			l.wake()
+		},
+		"suspect": func(w *worker) {
+			l.log.Record(anvilevent.WorkerUnanswering, "worker", w.id(), "tasks", len(w.tasks), "lapse", int64(w.lapse-l.clock.Now()))
+		},
+		"recover": func(w *worker) {
+			l.log.Record(anvilevent.WorkerRecovered, "worker", w.id(), "tasks", len(w.tasks))
+			l.wake()
+		},
+		"lose": func(w *worker) { l.loseTasks(w) },
+	}, nil)
+}
+
+// loseTasks ends the runs of a worker that can't be under way any more.
+func (l *Loop) loseTasks(w *worker) {
+	if len(w.tasks) == 0 {
+		return
+	}
+	l.log.Record(anvilevent.WorkerLapsed, "worker", w.id(), "tasks", len(w.tasks), "state", w.machine.State())
+	for _, t := range w.bound() {
+		l.fireTask(t, "lost")
+	}
+}
+
+// bound returns the tasks of a worker in a fixed order.
+func (w *worker) bound() []*task {
+	out := make([]*task, 0, len(w.tasks))
+	for t := range w.tasks {
+		out = append(out, t)
+	}
+	slices.SortFunc(out, compareTasks)
+	return out
+}
+
+func (l *Loop) adoptWorkers(page WorkerPage) {
+	for _, e := range page.entries {
+		l.list(e)
+	}
+	// Runs at workers that are no longer listed count until their leases have lapsed for certain.
+	now := l.clock.Now()
+	for _, j := range l.work.jobs {
+		for _, t := range j.tasks() {
+			if t.worker != nil || t.adopted == "" {
+				continue
+			}
+			w := l.fleet.byID[t.adopted]
+			if w == nil {
+				w = l.newWorker(NewListed(t.adopted, "", "", "", nil, anvilsize.Size{}, t.life))
+				w.listed.removed = true
+				w.unlisted = now
+			}
+			l.attach(t, w)
+		}
+	}
+}
+
+func (l *Loop) newWorker(e Listed) *worker {
+	now := l.clock.Now()
+	w := &worker{loop: l, listed: e, machine: l.charts.worker.NewMachine(), tasks: map[*task]bool{}}
+	// What a former holder has promised: it may have extended leases until its grace ended.
+	w.lapse = now + (holdGrace+l.bounds.maxLease)*(100+slowClock)/100 + lapseMargin
+	l.fleet.byID[e.id] = w
+	if e.pool != "" {
+		l.fleet.pools[e.pool] = append(l.fleet.pools[e.pool], w)
+	}
+	return w
+}
+
+// list takes an entry of the platform's list.
+func (l *Loop) list(e Listed) {
+	now := l.clock.Now()
+	w := l.fleet.byID[e.id]
+	if e.removed {
+		if w != nil && w.unlisted == 0 {
+			l.unlist(w, now)
+		}
+		return
+	}
+	if w != nil && w.listed.life != e.life && w.listed.life != 0 {
+		l.replace(w, "restarted")
+		w = nil
+	}
+	if w == nil {
+		w = l.newWorker(e)
+		l.log.Record(anvilevent.WorkerListed, "worker", e.id, "pool", e.pool, "address", e.addr, "life", e.life)
+		if l.holding() {
+			l.probe(w, now)
+		}
+		return
+	}
+	if w.unlisted != 0 {
+		l.log.Record(anvilevent.WorkerListed, "worker", e.id, "pool", e.pool, "away", int64(now-w.unlisted))
+		w.unlisted = 0
+		l.wake()
+	}
+	if e.draining && !w.listed.draining {
+		l.log.Record(anvilevent.WorkerDraining, "worker", e.id, "remaining", int64(e.remaining), "tasks", len(w.tasks))
+		w.health.leaves = now + e.remaining
+	}
+	if w.listed.pool != e.pool {
+		l.removeFromPool(w)
+		l.fleet.pools[e.pool] = append(l.fleet.pools[e.pool], w)
+	}
+	w.listed = e
+}
+
+// unlist notes that a worker's entry is gone. A worker that was draining has left, and so have its runs;
+// any other one may only be cut off from the store.
+func (l *Loop) unlist(w *worker, now anvilclock.Millis) {
+	w.unlisted = now
+	l.log.Record(anvilevent.WorkerUnlisted, "worker", w.id(), "draining", w.listed.draining, "tasks", len(w.tasks))
+	if w.listed.draining {
+		l.replace(w, "left")
+		return
+	}
+	l.probe(w, now)
+}
+
+// replace ends a life of a worker.
+func (l *Loop) replace(w *worker, reason string) {
+	l.log.Record(anvilevent.WorkerReplaced, "worker", w.id(), "reason", reason, "life", w.listed.life, "tasks", len(w.tasks))
+	l.fireWorker(w, "replaced")
+	l.removeFromPool(w)
+	delete(l.fleet.byID, w.id())
+	l.wake()
+}
+
+func (l *Loop) removeFromPool(w *worker) {
+	pool := w.listed.pool
+	l.fleet.pools[pool] = slices.DeleteFunc(l.fleet.pools[pool], func(o *worker) bool { return o == w })
+}
+
+func (m workersRead) deliver(l *Loop) {
+	if m.token != l.tenure.token {
+		return
+	}
+	listed := make(map[string]bool, len(m.page.entries))
+	for _, e := range m.page.entries {
+		listed[e.id] = !e.removed
+		l.list(e)
+	}
+	if !m.whole {
+		return
+	}
+	now := l.clock.Now()
+	for _, w := range l.fleet.sorted() {
+		if !listed[w.id()] && w.unlisted == 0 {
+			l.unlist(w, now)
+		}
+	}
+}
+
+func (f *fleet) sorted() []*worker {
+	out := make([]*worker, 0, len(f.byID))
+	for _, w := range f.byID {
+		out = append(out, w)
+	}
+	slices.SortFunc(out, func(a, b *worker) int { return cmpString(a.id(), b.id()) })
+	return out
+}
+
+func cmpString(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// tickFleet sends the holds that are due and ends runs whose leases have lapsed.
+func (l *Loop) tickFleet(now anvilclock.Millis) {
+	for _, w := range l.fleet.byID {
+		if w.machine.State() != workerReady && now >= w.lapse && len(w.tasks) > 0 {
+			l.fireWorker(w, "lapse")
+		}
+		if w.unlisted != 0 && len(w.tasks) == 0 && now-w.unlisted > unlistedAfter && w.machine.State() != workerReady {
+			l.replace(w, "unlisted")
+			continue
+		}
+		l.probe(w, now)
+		l.leave(w, now)
+	}
+}
+
+// probe sends a hold to a worker when one is due.
+func (l *Loop) probe(w *worker, now anvilclock.Millis) {
+	if w.holding || w.listed.addr == "" || !l.mayHold(now) || now-w.asked < holdGap {
+		return
+	}
+	o := HoldOrder{token: l.tenure.token, seen: w.seen}
+	switch {
+	case w.machine.State() != workerReady || w.failures > 0:
+		if w.asked != 0 && now-w.asked < probeEvery {
+			return
+		}
+	case w.seen > w.told:
+		// The ends may be forgotten; while tasks run, the same call waits for the next end.
+	case len(w.tasks) == 0:
+		return
+	case w.noted > w.seen:
+		// Ends are being stored. A hold now would only list them again, unless the store takes long.
+		if now-w.extended < refreshAfter {
+			return
+		}
+	}
+	if len(w.tasks) > 0 && w.heard != 0 {
+		o.until = w.workerNow(now) + l.leaseFor()
+		if w.machine.State() == workerReady && w.noted <= w.seen {
+			o.wait = holdWait
+		}
+	}
+	l.hold(w, o, now)
+}
+
+// hold sends a hold on a traffic goroutine.
+func (l *Loop) hold(w *worker, o HoldOrder, now anvilclock.Millis) {
+	w.holding, w.asked = true, now
+	if o.until != 0 {
+		w.promise(o.until, now)
+	}
+	ctx, workers, to, token := l.tenureContext(), l.workers, w.target(), l.tenure.token
+	go func() {
+		ctx, cancel := withTimeout(ctx, o.wait+orderTimeout)
+		defer cancel()
+		report, err := workers.Hold(ctx, to, o)
+		l.post(held{token: token, w: w, sent: now, until: o.until, seen: o.seen, report: report, err: err})
+	}()
+}
+
+func (m held) deliver(l *Loop) {
+	w := m.w
+	w.holding = false
+	if m.token != l.tenure.token || w.machine.State() == workerGone {
+		return
+	}
+	now := l.clock.Now()
+	if m.err != nil {
+		l.orderFailed(w, m.err, now)
+		return
+	}
+	w.failures = 0
+	w.hear(m.report.clock, now)
+	w.told = max(w.told, m.seen)
+	if w.listed.life != 0 && m.report.life != 0 && m.report.life != w.listed.life {
+		l.replace(w, "restarted")
+		return
+	}
+	l.reconcile(w, m, now)
+	l.fireWorker(w, "report")
+	l.probe(w, now)
+}
+
+// orderFailed takes an order's failure as news of the worker.
+func (l *Loop) orderFailed(w *worker, err error, now anvilclock.Millis) {
+	e := asOrderError(err)
+	w.hear(e.clock, now)
+	switch e.fault {
+	case FaultFenced:
+		l.depose("worker " + w.id() + " has seen a newer token")
+	case FaultReplaced:
+		l.replace(w, "another worker answers")
+	case FaultUnwell:
+		w.rest = now + unwellPause
+	case FaultSilent, FaultInvalid:
+		w.failures++
+		if w.failures >= silentAfter {
+			l.fireWorker(w, "silent")
+		}
+	default:
+	}
+}
+
+// reconcile compares what a worker reports with what the holder has bound to it.
+func (l *Loop) reconcile(w *worker, m held, now anvilclock.Millis) {
+	l.takeEndings(w, m.report.endings)
+	active := make(map[*task]bool, len(m.report.active))
+	for _, a := range m.report.active {
+		t := l.findTask(a.task)
+		if t == nil || t.worker != w || t.run != a.run {
+			l.stopStray(w, a, now)
+			continue
+		}
+		active[t] = true
+		l.observe(t, a, now)
+	}
+	for _, t := range w.bound() {
+		if active[t] || t.machine.State() == taskPlaced {
+			continue
+		}
+		// An adopted run, or one whose start was confirmed before the hold was sent, is not there any more.
+		if t.adopted != "" || (t.confirmed != 0 && t.confirmed < m.sent) {
+			l.log.Record(anvilevent.RunVanished, "task", t.id.String(), "run", t.run, "worker", w.id(), "state", t.machine.State())
+			l.fireTask(t, "lost")
+		}
+	}
+	l.regulate(w, now)
+}
+
+// takeEndings works off the ends that are new, and has them stored before the worker forgets them.
+func (l *Loop) takeEndings(w *worker, endings []Ending) {
+	last := w.noted
+	for _, e := range endings {
+		if e.number <= w.noted {
+			continue
+		}
+		last = max(last, e.number)
+		l.end(w, e)
+	}
+	if last > w.noted {
+		w.noted = last
+		l.journal.acks = append(l.journal.acks, ack{w: w, seen: last, mark: l.journal.marks})
+		if len(l.journal.queue) == 0 && l.journal.inflight == nil {
+			l.releaseAcks()
+		}
+	}
+}
+
+// stopStray stops a run that is not bound to the worker where it goes on.
+func (l *Loop) stopStray(w *worker, a Active, now anvilclock.Millis) {
+	l.log.Record(anvilevent.RunStray, "task", a.task.String(), "run", a.run, "worker", w.id())
+	l.meter.Count("run.stray")
+	l.sendStop(w, nil, StopOrder{task: a.task, run: a.run, token: l.tenure.token}, now)
+}
+
+func (l *Loop) adoptInstances(page anvilstorage.Page) {
+	for _, r := range page.Rows() {
+		l.adoptInstance(r)
+	}
+}
+
+func (l *Loop) adoptInstance(r anvilstorage.Row) {
+	if r.Deleted() {
+		l.asking.remove(r.Key())
+		return
+	}
+	in, err := anvilstorage.ParseInstance(r)
+	if err != nil {
+		l.log.Fault(anvilevent.RowUnreadable, err, "table", string(anvilstorage.Instances), "key", r.Key())
+		return
+	}
+	l.asking.add(in)
+}
+
+func (m instancesRead) deliver(l *Loop) {
+	if m.token != l.tenure.token {
+		return
+	}
+	l.adoptInstances(m.page)
+}
--- /dev/null
+++ b/entry/anvilscheduler/loop.go
@@ -0,0 +1,308 @@
+package anvilscheduler
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anvilevent"
+	"anvilhold.org/lib/anvilinvariant"
+	"anvilhold.org/lib/anvilpolicy"
+)
+
+// Meter counts events and measures lengths of time.
+type Meter interface {
+	Count(name string)
+	Gauge(name string, v int64)
+	Observe(name string, d time.Duration)
+}
+
+type unmeasured struct{}
+
+func (unmeasured) Count(string)                  {}
+func (unmeasured) Gauge(string, int64)           {}
+func (unmeasured) Observe(string, time.Duration) {}
+
+// View is what traffic goroutines see of control state. It is immutable.
+type View struct {
+	policy    *anvilpolicy.Policy
+	row       int64
+	confirmed anvilclock.Millis
+	synced    bool
+	leaving   bool
+}
+
+// Policy returns the configuration in force; nil before one was read.
+func (v *View) Policy() *anvilpolicy.Policy { return v.policy }
+
+// Row returns the version of the configuration's row.
+func (v *View) Row() int64 { return v.row }
+
+// Confirmed returns the time of the loop's clock up to which the configuration is known to be the newest.
+func (v *View) Confirmed() anvilclock.Millis { return v.confirmed }
+
+// Synced reports whether the states of all jobs have been read once.
+func (v *View) Synced() bool { return v.synced }
+
+// Leaving reports whether the instance was told to stop.
+func (v *View) Leaving() bool { return v.leaving }
+
+// Loop is the control loop of an entry instance. Its fields are owned by the goroutine that runs Run,
+// except for view and directory.
+type Loop struct {
+	self     anvilstorage.Instance
+	store    Store
+	roster   Roster
+	workers  Workers
+	advisors Advisors
+	clock    anvilclock.Clock
+	log      *anvilevent.Log
+	check    *anvilinvariant.Checker
+	meter    Meter
+	charts   *charts
+	inbox    chan message
+	view     atomic.Pointer[View]
+	// scheduling tells traffic goroutines whether this instance holds the tenure.
+	scheduling atomic.Bool
+	directory  *Directory
+
+	bounds  bounds
+	config  configuration
+	tenure  tenure
+	journal journal
+	fleet   fleet
+	work    work
+	asking  asking
+	wall    wallClock
+
+	ctx    context.Context
+	ending chan struct{}
+}
+
+// bounds holds what the platform promises of workers and asks of the scheduler.
+type bounds struct {
+	maxLease  anvilclock.Millis
+	stopGrace anvilclock.Millis
+}
+
+// configuration is the newest configuration and how long it is known to be that.
+type configuration struct {
+	policy    *anvilpolicy.Policy
+	row       int64
+	confirmed anvilclock.Millis
+	synced    bool
+	leaving   bool
+}
+
+// Option sets an optional part of a Loop.
+type Option func(*Loop)
+
+// WithClock replaces the machine's clock.
+func WithClock(c anvilclock.Clock) Option { return func(l *Loop) { l.clock = c } }
+
+// WithLog sets where events are written.
+func WithLog(log *anvilevent.Log) Option { return func(l *Loop) { l.log = log } }
+
+// WithChecker sets what happens when an invariant does not hold.
+func WithChecker(c *anvilinvariant.Checker) Option { return func(l *Loop) { l.check = c } }
+
+// WithMeter sets where figures go.
+func WithMeter(m Meter) Option { return func(l *Loop) { l.meter = m } }
+
+// WithLease sets the longest lease that workers grant, and how long a stop may take.
+func WithLease(longest, stopGrace anvilclock.Millis) Option {
+	return func(l *Loop) { l.bounds = bounds{maxLease: longest, stopGrace: stopGrace} }
+}
+
+// Defaults of the bounds.
+const (
+	defaultMaxLease  = anvilclock.Millis(6000)
+	defaultStopGrace = anvilclock.Millis(900)
+)
+
+// inboxSize is the number of messages that wait for the loop before traffic goroutines wait.
+const inboxSize = 4096
+
+// New returns a loop that has not started.
+func New(self anvilstorage.Instance, s Store, r Roster, w Workers, a Advisors, opts ...Option) (*Loop, error) {
+	l := &Loop{
+		self: self, store: s, roster: r, workers: w, advisors: a, clock: anvilclock.NewBoot(),
+		log: &anvilevent.Log{}, check: anvilinvariant.New(), meter: unmeasured{},
+		inbox: make(chan message, inboxSize), directory: NewDirectory(),
+		bounds: bounds{maxLease: defaultMaxLease, stopGrace: defaultStopGrace},
+	}
+	for _, opt := range opts {
+		opt(l)
+	}
+	if err := l.loadCharts(); err != nil {
+		return nil, err
+	}
+	l.tenure.machine = l.charts.tenure.NewMachine()
+	l.clear()
+	l.publish()
+	return l, nil
+}
+
+// clear forgets everything that only the holder knows.
+func (l *Loop) clear() {
+	l.journal = newJournal()
+	l.fleet = newFleet()
+	l.work = newWork()
+	l.asking = newAsking(l.self)
+}
+
+// View returns the newest picture of control state. It is safe for concurrent use.
+func (l *Loop) View() *View { return l.view.Load() }
+
+// Directory returns the states of jobs. It is safe for concurrent use.
+func (l *Loop) Directory() *Directory { return l.directory }
+
+// Clock returns the loop's clock.
+func (l *Loop) Clock() anvilclock.Clock { return l.clock }
+
+// Learn takes a newer configuration that a transaction of this instance has met.
+func (l *Loop) Learn(page anvilstorage.PolicyPage) {
+	l.post(policyRead{page: page, since: l.clock.Now()})
+}
+
+// Shutdown asks the loop to give up the tenure for good and returns a channel that is closed when it has.
+func (l *Loop) Shutdown() <-chan struct{} {
+	done := make(chan struct{})
+	l.post(shutdown{done: done})
+	return done
+}
+
+func (l *Loop) post(m message) { l.inbox <- m }
+
+// Run works until ctx ends.
+func (l *Loop) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.ctx = ctx
+	l.startWatches()
+	timer := time.NewTimer(tickFollowing.Duration())
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-l.inbox:
+			m.deliver(l)
+			l.drain()
+		case <-timer.C:
+			l.tick()
+			timer.Reset(l.resolution().Duration())
+		}
+		l.settle()
+	}
+}
+
+// drainMost bounds how many messages are worked off before decisions are made.
+const drainMost = 256
+
+func (l *Loop) drain() {
+	for range drainMost {
+		select {
+		case m := <-l.inbox:
+			m.deliver(l)
+		default:
+			return
+		}
+	}
+}
+
+func (l *Loop) resolution() anvilclock.Millis {
+	if l.holding() {
+		return tickHolding
+	}
+	return tickFollowing
+}
+
+// tick does what is due by time.
+func (l *Loop) tick() {
+	now := l.clock.Now()
+	l.wall.sample(l.clock)
+	if !l.holding() {
+		return
+	}
+	l.checkTenure(now)
+	l.tickFleet(now)
+	l.tickWork(now)
+	l.cleanStates(now)
+}
+
+// settle makes the decisions that the newest messages allow.
+func (l *Loop) settle() {
+	if !l.holding() {
+		return
+	}
+	now := l.clock.Now()
+	if l.work.dirty && now-l.work.passed >= passGap {
+		l.pass(now)
+	}
+	l.flush(now)
+}
+
+func (l *Loop) publish() {
+	l.view.Store(&View{
+		policy: l.config.policy, row: l.config.row, confirmed: l.config.confirmed, synced: l.config.synced,
+		leaving: l.config.leaving,
+	})
+}
+
+func (m policyRead) deliver(l *Loop) {
+	c := &l.config
+	if p := m.page.Policy(); p != nil && (c.policy == nil || p.Version() > c.policy.Version()) {
+		c.policy, c.row = p, m.page.Row()
+		l.log.Record(anvilevent.PolicyApplied, "version", p.Version(), "row", c.row)
+		l.wake()
+	}
+	if c.policy != nil {
+		c.confirmed = max(c.confirmed, m.since)
+	}
+	l.publish()
+}
+
+func (m statesRead) deliver(l *Loop) {
+	ids := make(map[string]bool, len(m.page.Rows()))
+	for _, r := range m.page.Rows() {
+		if r.Deleted() {
+			l.directory.Remove(r.Key())
+			continue
+		}
+		s, err := anvilstorage.ParseState(r)
+		if err != nil {
+			l.log.Fault(anvilevent.RowUnreadable, err, "table", string(anvilstorage.States), "key", r.Key())
+			continue
+		}
+		ids[r.Key()] = true
+		l.directory.Put(s, r.Version())
+	}
+	if m.whole {
+		l.directory.Keep(ids, m.page.Version())
+	}
+	if m.whole && !l.config.synced {
+		l.config.synced = true
+		l.publish()
+	}
+}
+
+func (m shutdown) deliver(l *Loop) {
+	l.config.leaving = true
+	l.publish()
+	l.ending = m.done
+	l.fireTenure("resign")
+	if !l.tenure.releasing {
+		l.finish()
+	}
+}
+
+// finish says that the tenure is given up. The loop goes on for the calls that are still answered.
+func (l *Loop) finish() {
+	if l.ending != nil {
+		close(l.ending)
+		l.ending = nil
+	}
+}
--- /dev/null
+++ b/entry/anvilscheduler/messages.go
@@ -0,0 +1,133 @@
+package anvilscheduler
+
+import (
+	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anvilclock"
+)
+
+// message is what traffic goroutines post to the loop.
+type message interface{ deliver(l *Loop) }
+
+// policyRead is a reading of the configuration that began at a time.
+type policyRead struct {
+	page  anvilstorage.PolicyPage
+	since anvilclock.Millis
+}
+
+// statesRead is a reading of the states of jobs.
+type statesRead struct {
+	page  anvilstorage.Page
+	whole bool
+}
+
+// tenureRead is a look at the row of the tenure.
+type tenureRead struct {
+	row   anvilstorage.Row
+	since anvilclock.Millis
+	err   error
+}
+
+// claimed is the answer to a claim of the tenure.
+type claimed struct {
+	tenure anvilstorage.Tenure
+	since  anvilclock.Millis
+	row    int64
+	err    error
+}
+
+// loaded is everything that a new holder reads.
+type loaded struct {
+	token     int64
+	intake    anvilstorage.Page
+	progress  anvilstorage.Page
+	instances anvilstorage.Page
+	workers   WorkerPage
+	err       error
+}
+
+// intakeRead is news of the intake table.
+type intakeRead struct {
+	token int64
+	page  anvilstorage.Page
+	whole bool
+}
+
+// instancesRead is news of the instances table.
+type instancesRead struct {
+	token int64
+	page  anvilstorage.Page
+}
+
+// workersRead is news of the list of workers.
+type workersRead struct {
+	token int64
+	page  WorkerPage
+	whole bool
+}
+
+// committed is the answer to a commit of the holder.
+type committed struct {
+	batch *batch
+	row   int64
+	now   anvilclock.Millis
+	err   error
+}
+
+// startAnswered is the answer to a start.
+type startAnswered struct {
+	token int64
+	w     *worker
+	t     *task
+	run   int
+	sent  anvilclock.Millis
+	until anvilclock.Millis
+	clock anvilclock.Millis
+	err   error
+}
+
+// stopAnswered is the answer to a stop.
+type stopAnswered struct {
+	token int64
+	w     *worker
+	t     *task
+	run   int
+	sent  anvilclock.Millis
+	clock anvilclock.Millis
+	err   error
+}
+
+// paceAnswered is the answer to a change of a task's pace.
+type paceAnswered struct {
+	token   int64
+	w       *worker
+	t       *task
+	run     int
+	percent int
+	err     error
+}
+
+// held is the answer to a hold.
+type held struct {
+	token  int64
+	w      *worker
+	sent   anvilclock.Millis
+	until  anvilclock.Millis
+	seen   int64
+	report Report
+	err    error
+}
+
+// advised is the answer to a question about a step.
+type advised struct {
+	token  int64
+	s      *stage
+	asker  *asker
+	sent   anvilclock.Millis
+	cost   anvilclock.Millis
+	first  bool
+	advice Advice
+	err    error
+}
+
+// shutdown asks the loop to give up the tenure for good.
+type shutdown struct{ done chan struct{} }
--- /dev/null
+++ b/entry/anvilscheduler/task.go
@@ -0,0 +1,418 @@
+package anvilscheduler
+
+import (
+	"context"
+
+	"anvilhold.org/lib/anvilchart"
+	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anvilevent"
+	"anvilhold.org/lib/anviljob"
+)
+
+func (l *Loop) bindTask() *anvilchart.Binding[*task] {
+	return anvilchart.NewBinding(map[string]func(*task){
+		"bind":   func(t *task) { l.bind(t) },
+		"unbind": func(t *task) { l.unbind(t) },
+		"send":   func(t *task) { l.sendFirst(t) },
+		"note": func(t *task) {
+			t.began = l.clock.Now()
+			l.meter.Observe("task.start", (t.began - t.sent).Duration())
+		},
+		"stop":   func(t *task) { l.stopTask(t, l.clock.Now()) },
+		"finish": func(t *task) { l.finishTask(t) },
+		"fail":   func(t *task) { l.failJob(t) },
+	}, map[string]func(*task) bool{
+		"lasting": func(t *task) bool { return t.stage.step.Lasting() },
+		"spent":   func(t *task) bool { return t.spent() },
+		"over":    func(t *task) bool { return t.stage.job.over() },
+	})
+}
+
+func (l *Loop) bindJob() *anvilchart.Binding[*job] {
+	return anvilchart.NewBinding(map[string]func(*job){
+		"publish": func(j *job) {
+			l.log.Record(anvilevent.JobState, "job", j.id(), "state", j.machine.State(), "queue", j.sub.Queue(),
+				"team", j.sub.Team(), "age", int64(l.clock.Now()-j.arrived))
+			l.meter.Count("job." + j.machine.State())
+			l.mark(j)
+		},
+		"halt": func(j *job) {
+			for _, t := range j.tasks() {
+				l.fireTask(t, "cancel")
+			}
+			for _, s := range j.stages {
+				delete(l.work.ready, s)
+			}
+		},
+	}, nil)
+}
+
+// spent reports whether the task's queue allows no further attempt.
+func (t *task) spent() bool {
+	s := t.stage
+	if s.step.Lasting() {
+		return false
+	}
+	failures := t.failures
+	if s.step.Gang() {
+		failures = s.failures
+	}
+	return failures >= s.job.loop.attempts(s.job)
+}
+
+// attempts returns how often a task of a job may fail.
+func (l *Loop) attempts(j *job) int {
+	if l.config.policy != nil {
+		if q, ok := l.config.policy.Queue(j.sub.Queue()); ok {
+			return q.Attempts()
+		}
+	}
+	return 1
+}
+
+// bind reserves the worker that was chosen. A run that a former holder has bound keeps its number.
+func (l *Loop) bind(t *task) {
+	s, j := t.stage, t.stage.job
+	if t.adopted == "" {
+		t.run++
+		t.life = t.worker.listed.life
+		j.placed = append(j.placed, t)
+		l.mark(j)
+	}
+	t.sent, t.confirmed, t.percent, t.load, t.pace, t.pacing = 0, 0, 0, 0, 100, false
+	t.inflight, t.doubtful = false, false
+	t.moved = l.clock.Now()
+	t.worker.tasks[t] = true
+	t.worker.used = t.worker.used.Add(s.step.Room())
+	s.perWorker[t.worker]++
+	s.open--
+	j.bound++
+	l.work.usage[j.sub.Team()] = l.work.usage[j.sub.Team()].Add(s.step.Size())
+	if s.open == 0 {
+		delete(l.work.ready, s)
+	}
+}
+
+// unbind releases what bind has reserved.
+func (l *Loop) unbind(t *task) {
+	s, j, w := t.stage, t.stage.job, t.worker
+	delete(w.tasks, t)
+	w.used = w.used.Sub(s.step.Room())
+	l.check.Check(!w.used.Negative(), "worker.used", "worker %s: %s", w.id(), w.used)
+	if s.perWorker[w]--; s.perWorker[w] == 0 {
+		delete(s.perWorker, w)
+	}
+	j.bound--
+	l.work.usage[j.sub.Team()] = l.work.usage[j.sub.Team()].Sub(s.step.Size())
+	t.worker, t.adopted = nil, ""
+	l.mark(j)
+	l.wake()
+	if t.machine.State() != taskWaiting {
+		return
+	}
+	s.open++
+	if !j.over() && s.ready {
+		l.work.ready[s] = true
+	}
+	if s.step.Gang() {
+		l.haltGang(s)
+	}
+}
+
+// haltGang stops the rest of a gang of which a task has ended.
+func (l *Loop) haltGang(s *stage) {
+	for _, t := range s.tasks {
+		if t.machine.State() == taskPlaced || t.machine.State() == taskStarting || t.machine.State() == taskRunning {
+			l.fireTask(t, "halt")
+		}
+	}
+}
+
+// finishTask counts a task that has ended with success.
+func (l *Loop) finishTask(t *task) {
+	s, j := t.stage, t.stage.job
+	l.recount(s)
+	s.done++
+	l.mark(j)
+	if s.done < len(s.tasks) {
+		return
+	}
+	delete(l.work.ready, s)
+	l.offer(j)
+	l.checkFinished(j)
+}
+
+// recount corrects the number of waiting tasks of a stage.
+func (l *Loop) recount(s *stage) {
+	s.open = 0
+	for _, t := range s.tasks {
+		if t.machine.State() == taskWaiting {
+			s.open++
+		}
+	}
+	if s.open == 0 {
+		delete(l.work.ready, s)
+	}
+}
+
+// checkFinished completes a job whose tasks have all ended with success.
+func (l *Loop) checkFinished(j *job) {
+	if j.over() || j.due < j.sub.Spec().Repeat().Count() {
+		return
+	}
+	for _, s := range j.stages {
+		if s.done < len(s.tasks) {
+			return
+		}
+	}
+	l.fireJob(j, "finish")
+}
+
+func (l *Loop) failJob(t *task) {
+	l.log.Record(anvilevent.TaskSpent, "task", t.id.String(), "failures", t.failures)
+	l.fireJob(t.stage.job, "fail")
+}
+
+// sendBound sends the starts whose bindings are stored.
+func (l *Loop) sendBound(bindings []binding) {
+	valid := l.valid(l.clock.Now())
+	for _, b := range bindings {
+		if b.t.run != b.run || b.t.machine.State() != taskPlaced {
+			continue
+		}
+		if valid {
+			l.fireTask(b.t, "committed")
+			continue
+		}
+		// Another instance may have claimed the tenure. The next commit tells.
+		j := b.t.stage.job
+		j.placed = append(j.placed, b.t)
+		l.mark(j)
+	}
+}
+
+// sendFirst sends the start of a run for the first time.
+func (l *Loop) sendFirst(t *task) {
+	if t.adopted != "" {
+		return
+	}
+	now := l.clock.Now()
+	t.sent = now
+	l.log.Record(anvilevent.RunPlaced, "task", t.id.String(), "run", t.run, "worker", t.worker.id(),
+		"room", t.stage.step.Room().String(), "free", t.worker.free().String(), "waited", int64(now-t.stage.begins),
+		"resumed", t.checkpoint != "")
+	l.meter.Observe("task.wait", (now - t.stage.begins).Duration())
+	l.sendStart(t, now)
+	if j := t.stage.job; j.machine.State() == string(anviljob.Queued) {
+		l.fireJob(j, "begin")
+	}
+}
+
+// sendStart sends a start on a traffic goroutine. Sending it again is harmless: a worker starts a run once.
+func (l *Loop) sendStart(t *task, now anvilclock.Millis) {
+	w := t.worker
+	o := StartOrder{
+		task: t.id, run: t.run, payload: t.stage.job.sub.Spec().Payload(), token: l.tenure.token,
+		until: w.workerNow(now) + l.leaseFor(), checkpoint: t.resumeFrom(), ticket: t.ticket,
+	}
+	w.promise(o.until, now)
+	t.moved = now
+	m := startAnswered{token: l.tenure.token, w: w, t: t, run: t.run, sent: now, until: o.until}
+	ctx, workers, to := l.tenureContext(), l.workers, w.target()
+	go func() {
+		ctx, cancel := withTimeout(ctx, orderTimeout)
+		defer cancel()
+		m.clock, m.err = workers.Start(ctx, to, o)
+		l.post(m)
+	}()
+	t.confirmed = 0
+	t.inflight = true
+}
+
+// resumeFrom returns the checkpoint that a start carries. All tasks of a gang carry the same.
+func (t *task) resumeFrom() string {
+	if t.stage.step.Gang() {
+		return t.stage.checkpoint
+	}
+	return t.checkpoint
+}
+
+func (m startAnswered) deliver(l *Loop) {
+	t, w := m.t, m.w
+	if m.token != l.tenure.token || t.worker != w || t.run != m.run {
+		return
+	}
+	now := l.clock.Now()
+	t.inflight = false
+	if m.err == nil {
+		w.failures = 0
+		w.hear(m.clock, now)
+		t.confirmed = now
+		l.fireTask(t, "started")
+		l.probe(w, now)
+		return
+	}
+	e := asOrderError(m.err)
+	l.log.Record(anvilevent.StartRefused, "task", t.id.String(), "run", t.run, "worker", w.id(), "fault", string(e.fault), "error", e.Error())
+	l.meter.Count("start." + string(e.fault))
+	t.doubtful = t.doubtful || e.fault == FaultSilent
+	l.orderFailed(w, m.err, now)
+	if t.worker != w || t.run != m.run || t.machine.State() != taskStarting {
+		return
+	}
+	switch e.fault {
+	case FaultSilent, FaultFenced, FaultReplaced:
+		// Sent again by the tick, or ended with the tenure or the worker.
+	case FaultOutdated:
+		t.confirmed = now
+	default:
+		l.refuseStart(t, e.fault)
+	}
+}
+
+// refuseStart takes back a start that was refused. When an earlier sending of it got no answer, it may
+// still be carried out, and has to be stopped first.
+func (l *Loop) refuseStart(t *task, f Fault) {
+	if f == FaultTicket {
+		t.stage.tickets.drop(t.worker.id())
+	}
+	t.avoid = t.worker
+	if t.doubtful {
+		l.fireTask(t, "halt")
+		return
+	}
+	l.fireTask(t, "refused")
+}
+
+// stopTask sends a stop for the run of a task.
+func (l *Loop) stopTask(t *task, now anvilclock.Millis) {
+	t.stopped = now
+	l.log.Record(anvilevent.RunStopped, "task", t.id.String(), "run", t.run, "worker", t.worker.id())
+	l.sendStop(t.worker, t, StopOrder{task: t.id, run: t.run, token: l.tenure.token}, now)
+}
+
+func (l *Loop) sendStop(w *worker, t *task, o StopOrder, now anvilclock.Millis) {
+	if w.listed.addr == "" || !l.mayHold(now) {
+		return
+	}
+	m := stopAnswered{token: l.tenure.token, w: w, t: t, run: o.run, sent: now}
+	ctx, workers, to := l.tenureContext(), l.workers, w.target()
+	go func() {
+		ctx, cancel := withTimeout(ctx, orderTimeout)
+		defer cancel()
+		m.clock, m.err = workers.Stop(ctx, to, o)
+		l.post(m)
+	}()
+}
+
+func (m stopAnswered) deliver(l *Loop) {
+	if m.token != l.tenure.token {
+		return
+	}
+	now := l.clock.Now()
+	if m.err != nil {
+		l.orderFailed(m.w, m.err, now)
+		return
+	}
+	m.w.hear(m.clock, now)
+	if m.t != nil && m.t.worker == m.w && m.t.run == m.run {
+		m.t.confirmed = now
+	}
+	l.probe(m.w, now)
+}
+
+// observe takes what a worker says of a run that goes on.
+func (l *Loop) observe(t *task, a Active, now anvilclock.Millis) {
+	t.adopted = ""
+	if t.confirmed == 0 {
+		t.confirmed = now
+	}
+	if a.checkpoint != "" {
+		t.checkpoint = a.checkpoint
+		t.stage.checkpoint = a.checkpoint
+	}
+	if a.percent != t.percent {
+		t.percent, t.moved = a.percent, now
+	}
+	t.load = a.load
+	if t.machine.State() == taskStarting {
+		l.fireTask(t, "started")
+	}
+}
+
+// end takes the end of a run that a worker lists.
+func (l *Loop) end(w *worker, e Ending) {
+	t := l.findTask(e.task)
+	if t == nil {
+		return
+	}
+	l.log.Record(anvilevent.RunEnded, "task", e.task.String(), "run", e.run, "worker", w.id(), "cause", string(e.cause),
+		"number", e.number)
+	l.meter.Count("run." + string(e.cause))
+	if e.checkpoint != "" {
+		t.checkpoint, t.stage.checkpoint = e.checkpoint, e.checkpoint
+	}
+	if t.run != e.run || t.worker != w {
+		l.endFormer(t, e)
+		return
+	}
+	t.adopted = ""
+	w.health.end(e.cause, l.clock.Now())
+	switch e.cause {
+	case CauseDone:
+		l.done(t)
+	case CauseFailed:
+		t.avoid = w
+		l.countFailure(t, e.run)
+		l.fireTask(t, "failed")
+	default:
+		l.fireTask(t, "ended")
+	}
+}
+
+// done ends a task with success, and with it its gang.
+func (l *Loop) done(t *task) {
+	if !t.stage.step.Gang() {
+		l.fireTask(t, "done")
+		return
+	}
+	for _, m := range t.stage.tasks {
+		l.fireTask(m, "done")
+	}
+}
+
+// countFailure counts a failed run; a gang fails as a whole.
+func (l *Loop) countFailure(t *task, run int) {
+	if t.stage.step.Lasting() {
+		return
+	}
+	t.failures++
+	if s := t.stage; s.failedRun != run {
+		s.failedRun = run
+		s.failures++
+	}
+	l.mark(t.stage.job)
+}
+
+// endFormer takes the end of a run that was thought lost.
+func (l *Loop) endFormer(t *task, e Ending) {
+	if e.run > t.run || t.stage.step.Lasting() || t.machine.Final() {
+		return
+	}
+	switch e.cause {
+	case CauseDone:
+		if t.worker != nil && t.machine.State() != taskPlaced {
+			l.sendStop(t.worker, t, StopOrder{task: t.id, run: t.run, token: l.tenure.token}, l.clock.Now())
+		}
+		l.done(t)
+	case CauseFailed:
+		l.countFailure(t, e.run)
+		if t.machine.State() == taskWaiting && t.spent() {
+			l.failJob(t)
+		}
+	default:
+	}
+}
+
+// tenureContext ends with the tenure.
+func (l *Loop) tenureContext() context.Context { return l.tenure.ctx }
--- /dev/null
+++ b/entry/anvilscheduler/tenure.go
@@ -0,0 +1,225 @@
+package anvilscheduler
+
+import (
+	"context"
+
+	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anvilchart"
+	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anvilevent"
+)
+
+// tenure is what this instance knows of who schedules.
+type tenure struct {
+	machine anvilchart.Machine
+	// current and row are the newest row that was seen.
+	current anvilstorage.Tenure
+	row     int64
+	// since is when the row was first seen unchanged, looked when it was last looked at.
+	since  anvilclock.Millis
+	looked anvilclock.Millis
+	// trip is the shortest round trip to the store that was seen.
+	trip anvilclock.Millis
+	// token is this instance's fencing token; 0 while it neither loads nor schedules.
+	token int64
+	// renewed is when the last applied commit was sent.
+	renewed anvilclock.Millis
+	began   anvilclock.Millis
+	// ctx and cancel end the effects of this tenure.
+	ctx       context.Context
+	cancel    context.CancelFunc
+	releasing bool
+}
+
+// States of the chart that the code asks for.
+const (
+	stateFollowing = "following"
+	stateHolding   = "holding"
+)
+
+// holding reports whether this instance schedules.
+func (l *Loop) holding() bool { return l.tenure.machine.State() == stateHolding }
+
+// valid reports whether no other instance can hold the tenure yet.
+func (l *Loop) valid(now anvilclock.Millis) bool {
+	return l.holding() && now-l.tenure.renewed < validity
+}
+
+// mayHold reports whether leases may still be extended. A successor waits for this long.
+func (l *Loop) mayHold(now anvilclock.Millis) bool {
+	return l.holding() && now-l.tenure.renewed < holdGrace
+}
+
+func (l *Loop) bindTenure() *anvilchart.Binding[*Loop] {
+	return anvilchart.NewBinding(map[string]func(*Loop){
+		"claim":   func(l *Loop) { l.claim() },
+		"load":    func(l *Loop) { l.load() },
+		"begin":   func(l *Loop) { l.begin() },
+		"drop":    func(l *Loop) { l.dropTenure() },
+		"release": func(l *Loop) { l.release() },
+	}, nil)
+}
+
+func (m tenureRead) deliver(l *Loop) {
+	t := &l.tenure
+	if m.err != nil || t.machine.State() != stateFollowing {
+		return
+	}
+	now := l.clock.Now()
+	if trip := now - m.since; t.trip == 0 || trip < t.trip {
+		t.trip = trip
+	}
+	current := anvilstorage.Tenure{}
+	if m.row.Version() != 0 {
+		var err error
+		if current, err = anvilstorage.ParseTenure(m.row); err != nil {
+			l.log.Fault(anvilevent.RowUnreadable, err, "table", string(anvilstorage.Tenures))
+		}
+	}
+	fresh := m.row.Version() != t.row || t.looked == 0 || m.since-t.looked > watchGap
+	if fresh {
+		t.row, t.current, t.since = m.row.Version(), current, m.since
+	}
+	t.looked = m.since
+	if t.row == 0 || current.Holder() == "" || m.since-t.since >= vacantAfter+t.trip*distanceFactor {
+		l.fireTenure("vacant")
+	}
+}
+
+// claim asks the store for the tenure. The claim fails when the holder has committed meanwhile.
+func (l *Loop) claim() {
+	t := &l.tenure
+	next := anvilstorage.NewTenure(l.self.Name(), l.self.Addr(), t.current.Token()+1, 0)
+	row, err := anvilstorage.TenureRow(next)
+	if err != nil {
+		l.log.Fault(anvilevent.RowUnreadable, err)
+		return
+	}
+	tx := &anvilstorage.Tx{}
+	tx.Expect(anvilstorage.Tenures, anvilstorage.TenureKey, t.row)
+	tx.Set(row)
+	l.log.Record(anvilevent.TenureClaimed, "token", next.Token(), "from", t.current.Holder(), "unchanged", int64(l.clock.Now()-t.since))
+	ctx := l.ctx
+	go func() {
+		since := l.clock.Now()
+		receipt, err := commitWithin(ctx, l.store, tx)
+		l.post(claimed{tenure: next, since: since, row: receipt.Version(), err: err})
+	}()
+}
+
+func (m claimed) deliver(l *Loop) {
+	t := &l.tenure
+	if m.err != nil {
+		// A claim without an answer may still be carried out; then the row names this instance as a holder
+		// that never renews, and the tenure becomes vacant again.
+		l.log.Record(anvilevent.TenureDenied, "token", m.tenure.Token(), "reason", m.err.Error())
+		t.looked = 0
+		l.fireTenure("denied")
+		return
+	}
+	t.token, t.current, t.row, t.renewed = m.tenure.Token(), m.tenure, m.row, m.since
+	l.fireTenure("granted")
+}
+
+// load reads everything that a holder must know.
+func (l *Loop) load() {
+	l.clear()
+	ctx, cancel := context.WithCancel(l.ctx)
+	l.tenure.ctx, l.tenure.cancel = ctx, cancel
+	token := l.tenure.token
+	go func() { l.post(l.readAll(ctx, token)) }()
+}
+
+// dropTenure forgets everything that only a holder knows.
+func (l *Loop) dropTenure() {
+	t := &l.tenure
+	l.log.Record(anvilevent.TenureLost, "token", t.token)
+	if t.cancel != nil {
+		t.cancel()
+	}
+	t.token, t.looked = 0, 0
+	l.scheduling.Store(false)
+	l.clear()
+}
+
+func (m loaded) deliver(l *Loop) {
+	if m.token != l.tenure.token {
+		return
+	}
+	if m.err != nil {
+		l.log.Fault(anvilevent.StoreFailed, m.err, "during", "load")
+		l.fireTenure("deposed")
+		return
+	}
+	cancels := l.adoptJobs(m.intake, m.progress)
+	l.adoptInstances(m.instances)
+	l.adoptWorkers(m.workers)
+	l.resumeJobs(cancels)
+	l.fireTenure("loaded")
+	l.log.Record(anvilevent.TenureGranted, "token", m.token, "jobs", len(l.work.jobs), "workers", len(l.fleet.byID),
+		"took", int64(l.clock.Now()-l.tenure.renewed))
+	l.watchAsHolder(m)
+}
+
+func (l *Loop) begin() {
+	now := l.clock.Now()
+	l.tenure.began = now
+	l.scheduling.Store(true)
+	l.work.dirty = true
+	l.journal.count = l.tenure.current.Count()
+	for _, w := range l.fleet.byID {
+		l.probe(w, now)
+	}
+}
+
+// checkTenure gives up a tenure that could not be renewed for longer than a successor waits.
+func (l *Loop) checkTenure(now anvilclock.Millis) {
+	if !l.mayHold(now) {
+		l.depose("the tenure could not be renewed")
+	}
+}
+
+// depose ends the tenure because another instance holds it, or may.
+func (l *Loop) depose(reason string) {
+	if l.tenure.token == 0 {
+		return
+	}
+	l.log.Record(anvilevent.TenureDeposed, "token", l.tenure.token, "reason", reason)
+	l.fireTenure("deposed")
+}
+
+// release gives up the tenure at a planned stop, so that another instance claims it at its next look.
+func (l *Loop) release() {
+	t := &l.tenure
+	t.releasing = true
+	tx := &anvilstorage.Tx{}
+	tx.Expect(anvilstorage.Tenures, anvilstorage.TenureKey, t.row)
+	row, err := anvilstorage.TenureRow(anvilstorage.NewTenure("", "", t.token, 0))
+	if err != nil {
+		l.log.Fault(anvilevent.RowUnreadable, err)
+	}
+	tx.Set(row)
+	l.log.Record(anvilevent.TenureReleased, "token", t.token)
+	inflight := l.journal.inflight
+	ctx := l.ctx
+	go func() {
+		if inflight != nil {
+			// The row's version is known only after the commit that is on its way.
+			<-inflight.settled
+			if v := inflight.row.Load(); v != 0 {
+				tx = &anvilstorage.Tx{}
+				tx.Expect(anvilstorage.Tenures, anvilstorage.TenureKey, v)
+				tx.Set(row)
+			}
+		}
+		if _, err := commitWithin(ctx, l.store, tx); err != nil {
+			l.log.Fault(anvilevent.StoreFailed, err, "during", "release")
+		}
+		l.post(released{})
+	}()
+}
+
+// released says that the tenure was given up, or could not be.
+type released struct{}
+
+func (released) deliver(l *Loop) { l.finish() }
--- /dev/null
+++ b/entry/anvilscheduler/tuning.go
@@ -0,0 +1,115 @@
+package anvilscheduler
+
+import "anvilhold.org/lib/anvilclock"
+
+// Timing of the tenure.
+const (
+	// renewEvery is the longest time between two commits of the holder. Three renewals fit into validity.
+	renewEvery = anvilclock.Millis(350)
+	// validity is how long after the sending of its last applied commit the holder may send starts. It
+	// ends before others may claim the tenure.
+	validity = anvilclock.Millis(1300)
+	// vacantAfter is how long the row of the tenure must stay unchanged before another instance claims it.
+	vacantAfter = anvilclock.Millis(1700)
+	// watchEvery is the pause between two looks at the row of the tenure.
+	watchEvery = anvilclock.Millis(250)
+	// watchGap is the longest time between two successful looks that count as one observation: after an
+	// outage of the store, the holder gets its time to renew first.
+	watchGap = anvilclock.Millis(1000)
+	// distanceFactor delays the claim of instances far from the store by multiples of their round trip,
+	// since the holder commits all the time. 24 ms between regions delay it by 480 ms.
+	distanceFactor = 20
+	// holdGrace is how long a holder that can't renew goes on holding the leases of running tasks, so
+	// that an outage of the store stops no work. A successor waits for it before it counts on a lapse.
+	holdGrace = anvilclock.Millis(8000)
+)
+
+// Timing of commits.
+const (
+	// commitGap is the least time between two commits of the holder. 40 commits a second leave five sixths
+	// of what one part of the store takes to submissions.
+	commitGap = anvilclock.Millis(25)
+	// commitTimeout bounds one try of a commit; a slow store takes a quarter of a second.
+	commitTimeout = anvilclock.Millis(900)
+	// commitRetry is the pause before a commit is tried again.
+	commitRetry = anvilclock.Millis(60)
+	// readTimeout bounds reading a table.
+	readTimeout = anvilclock.Millis(3000)
+	// feedGap is the least time between two readings of the changes of jobs and workers by the holder.
+	feedGap = anvilclock.Millis(15)
+	// stateGap is the same for the states of jobs at every instance: a state is shown that much later, and
+	// readings are priced.
+	stateGap = anvilclock.Millis(80)
+	// feedWait is how long the store may wait for a change before it answers.
+	feedWait = anvilclock.Millis(2000)
+	// policyWait is the same for the configuration; every answer confirms the version in force.
+	policyWait = anvilclock.Millis(700)
+	// readRetry is the pause after a failed reading.
+	readRetry = anvilclock.Millis(120)
+	// commitReserve is how many entries one job may add to a commit.
+	commitReserve = 4
+)
+
+// Timing of workers.
+const (
+	// leaseTime is how long runs are held beyond the last order. A lost holder and its successor need
+	// about 3 s until the successor has spoken to all workers.
+	leaseTime = anvilclock.Millis(5000)
+	// leaseSlack keeps a lease below the longest that workers allow.
+	leaseSlack = anvilclock.Millis(500)
+	// refreshAfter is the age of the last order at which a lease is extended.
+	refreshAfter = anvilclock.Millis(1200)
+	// holdWait is how long a worker may wait for an end before it answers a hold.
+	holdWait = anvilclock.Millis(1000)
+	// holdGap is the least time between two holds of one worker, so that ends shortly after each other
+	// need one look.
+	holdGap = anvilclock.Millis(30)
+	// orderTimeout bounds a start, a stop, and a hold beyond its wait.
+	orderTimeout = anvilclock.Millis(700)
+	// orderRetry is the pause before an order without an answer is sent again.
+	orderRetry = anvilclock.Millis(150)
+	// silentAfter is the number of orders in a row without an answer after which a worker counts as silent.
+	silentAfter = 2
+	// probeEvery is the pause between holds of a silent worker.
+	probeEvery = anvilclock.Millis(300)
+	// unwellPause is how long a worker that refused gets no starts.
+	unwellPause = anvilclock.Millis(400)
+	// lapseMargin is added before a lapsed lease is relied on.
+	lapseMargin = anvilclock.Millis(250)
+	// slowClock is how much a worker's clock may lag, in parts of 100.
+	slowClock = 2
+	// leaveMargin is added to the time of a stop when work is moved off a worker that leaves.
+	leaveMargin = anvilclock.Millis(600)
+	// unlistedAfter is how long an entry may be missing from the list before the worker gets no starts.
+	unlistedAfter = anvilclock.Millis(2500)
+)
+
+// Scheduling.
+const (
+	// passGap is the least time between two passes over the waiting steps.
+	passGap = anvilclock.Millis(5)
+	// tickHolding and tickFollowing are the resolutions of timers.
+	tickHolding   = anvilclock.Millis(20)
+	tickFollowing = anvilclock.Millis(100)
+	// ticketMargin is how long a ticket must still be valid when a start is decided: the start is stored
+	// first and then travels to the worker.
+	ticketMargin = anvilclock.Millis(120)
+	// askMargin is added to the time that a question may take.
+	askMargin = anvilclock.Millis(1500)
+	// askRetry is the pause after a failed question.
+	askRetry = anvilclock.Millis(100)
+	// askRest is how long an instance that failed to ask is left alone.
+	askRest = anvilclock.Millis(3000)
+	// askWorkers is how many workers a question may name.
+	askWorkers = 100
+	// reservations is how many gangs may keep room free for themselves at a time.
+	reservations = 3
+	// hopeless is the multiple of its objective after which a job earns nothing.
+	hopeless = 3
+	// keepEnded is how long the state of an ended job is kept.
+	keepEnded = anvilclock.Millis(150_000)
+	// cleanEvery is the pause between two removals of old states.
+	cleanEvery = anvilclock.Millis(5000)
+	// retryStop is the pause before a stop that has shown no end is sent again.
+	retryStop = anvilclock.Millis(600)
+)
--- /dev/null
+++ b/entry/anvilscheduler/watch.go
@@ -0,0 +1,236 @@
+package anvilscheduler
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anvilevent"
+)
+
+func withTimeout(ctx context.Context, d anvilclock.Millis) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, d.Duration())
+}
+
+// sleep waits and reports whether ctx goes on.
+func sleep(ctx context.Context, d anvilclock.Millis) bool {
+	timer := time.NewTimer(d.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func asOrderError(err error) *OrderError {
+	var e *OrderError
+	if errors.As(err, &e) {
+		return e
+	}
+	return NewOrderError(FaultSilent, 0, err)
+}
+
+// startWatches starts what every instance reads.
+func (l *Loop) startWatches() {
+	go l.watchPolicy(l.ctx)
+	go l.watchTenure(l.ctx)
+	go l.watchTable(l.ctx, anvilstorage.States, 0, stateGap, func(page anvilstorage.Page, whole bool) {
+		l.post(statesRead{page: page, whole: whole})
+	})
+	go l.register(l.ctx)
+}
+
+// outage logs the beginning and the end of a time in which something can't be read.
+type outage struct {
+	log   *anvilevent.Log
+	clock anvilclock.Clock
+	what  string
+	since anvilclock.Millis
+	down  bool
+}
+
+func (o *outage) note(err error) {
+	switch now := o.clock.Now(); {
+	case err != nil && !o.down:
+		o.down, o.since = true, now
+		o.log.Record(anvilevent.DependencyLost, "what", o.what, "error", err.Error())
+	case err == nil && o.down:
+		o.down = false
+		o.log.Record(anvilevent.DependencyBack, "what", o.what, "after", int64(now-o.since))
+	}
+}
+
+func (l *Loop) outage(what string) *outage { return &outage{log: l.log, clock: l.clock, what: what} }
+
+// watchPolicy follows the configuration. Every answer confirms the version in force.
+func (l *Loop) watchPolicy(ctx context.Context) {
+	out := l.outage("configuration")
+	after := int64(0)
+	for ctx.Err() == nil {
+		since := l.clock.Now()
+		call, cancel := withTimeout(ctx, policyWait+readTimeout)
+		page, err := l.roster.Policy(call, after, policyWait)
+		cancel()
+		out.note(err)
+		switch {
+		case err == nil:
+			// The answer is as new as its sending, which is not known; the call's begin is safe.
+			l.post(policyRead{page: page, since: since})
+			after = page.Version()
+			sleep(ctx, feedGap)
+		case anvilstorage.As(err).Kind() == anvilstorage.Compacted:
+			after = 0
+		default:
+			sleep(ctx, readRetry)
+		}
+	}
+}
+
+// watchTenure looks at who schedules while this instance doesn't.
+func (l *Loop) watchTenure(ctx context.Context) {
+	out := l.outage("tenure")
+	for ctx.Err() == nil {
+		since := l.clock.Now()
+		call, cancel := withTimeout(ctx, watchGap)
+		page, err := l.store.Scan(call, anvilstorage.Tenures)
+		cancel()
+		out.note(err)
+		m := tenureRead{since: since, err: err}
+		for _, r := range page.Rows() {
+			if r.Key() == anvilstorage.TenureKey {
+				m.row = r
+			}
+		}
+		l.post(m)
+		sleep(ctx, watchEvery)
+		l.waitFollowing(ctx)
+	}
+}
+
+// waitFollowing waits while this instance schedules: its commits tell whether it still does.
+func (l *Loop) waitFollowing(ctx context.Context) {
+	for ctx.Err() == nil && l.scheduling.Load() {
+		sleep(ctx, watchEvery)
+	}
+}
+
+// watchTable reads a table and follows its changes. An after of 0 begins with everything.
+func (l *Loop) watchTable(ctx context.Context, table anvilstorage.Table, after int64, gap anvilclock.Millis, post func(anvilstorage.Page, bool)) {
+	out := l.outage(string(table))
+	for ctx.Err() == nil {
+		whole := after == 0
+		page, err := l.readTable(ctx, table, after)
+		out.note(err)
+		switch {
+		case err == nil:
+			if whole || len(page.Rows()) > 0 {
+				post(page, whole)
+			}
+			after = page.Version()
+			sleep(ctx, gap)
+		case anvilstorage.As(err).Kind() == anvilstorage.Compacted:
+			after = 0
+		default:
+			sleep(ctx, readRetry)
+		}
+	}
+}
+
+func (l *Loop) readTable(ctx context.Context, table anvilstorage.Table, after int64) (anvilstorage.Page, error) {
+	if after == 0 {
+		ctx, cancel := withTimeout(ctx, readTimeout)
+		defer cancel()
+		return l.store.Scan(ctx, table)
+	}
+	ctx, cancel := withTimeout(ctx, feedWait+readTimeout)
+	defer cancel()
+	return l.store.Changes(ctx, table, after, feedWait)
+}
+
+// readAll reads what a new holder must know.
+func (l *Loop) readAll(ctx context.Context, token int64) loaded {
+	m := loaded{token: token}
+	for range loadTries {
+		if m.err = l.readOnce(ctx, &m); m.err == nil || !sleep(ctx, readRetry) {
+			break
+		}
+	}
+	return m
+}
+
+// loadTries bounds the tries to read everything; the tenure lapses meanwhile.
+const loadTries = 5
+
+func (l *Loop) readOnce(ctx context.Context, m *loaded) error {
+	ctx, cancel := withTimeout(ctx, readTimeout)
+	defer cancel()
+	results := make(chan error, 4)
+	go func() { var err error; m.intake, err = l.store.Scan(ctx, anvilstorage.Intake); results <- err }()
+	go func() { var err error; m.progress, err = l.store.Scan(ctx, anvilstorage.Progress); results <- err }()
+	go func() { var err error; m.instances, err = l.store.Scan(ctx, anvilstorage.Instances); results <- err }()
+	go func() { var err error; m.workers, err = l.roster.Workers(ctx, 0, 0); results <- err }()
+	var errs []error
+	for range cap(results) {
+		errs = append(errs, <-results)
+	}
+	return errors.Join(errs...)
+}
+
+// watchAsHolder follows what only the holder needs, until the tenure ends.
+func (l *Loop) watchAsHolder(m loaded) {
+	ctx, token := l.tenureContext(), m.token
+	go l.watchTable(ctx, anvilstorage.Intake, m.intake.Version(), feedGap, func(page anvilstorage.Page, whole bool) {
+		l.post(intakeRead{token: token, page: page, whole: whole})
+	})
+	go l.watchTable(ctx, anvilstorage.Instances, m.instances.Version(), readRetry, func(page anvilstorage.Page, _ bool) {
+		l.post(instancesRead{token: token, page: page})
+	})
+	go l.watchWorkers(ctx, token, m.workers.version)
+}
+
+func (l *Loop) watchWorkers(ctx context.Context, token, after int64) {
+	out := l.outage("worker list")
+	for ctx.Err() == nil {
+		whole := after == 0
+		call, cancel := withTimeout(ctx, feedWait+readTimeout)
+		page, err := l.roster.Workers(call, after, feedWait)
+		cancel()
+		out.note(err)
+		switch {
+		case err == nil:
+			if whole || len(page.entries) > 0 {
+				l.post(workersRead{token: token, page: page, whole: whole})
+			}
+			after = page.version
+			sleep(ctx, feedGap)
+		case anvilstorage.As(err).Kind() == anvilstorage.Compacted:
+			after = 0
+		default:
+			sleep(ctx, readRetry)
+		}
+	}
+}
+
+// register writes this instance's row, so that the holder can have it ask the advisor.
+func (l *Loop) register(ctx context.Context) {
+	row, err := anvilstorage.InstanceRow(l.self)
+	if err != nil {
+		l.log.Fault(anvilevent.RowUnreadable, err)
+		return
+	}
+	tx := &anvilstorage.Tx{}
+	tx.Set(row)
+	out := l.outage("registration")
+	for ctx.Err() == nil {
+		_, err := commitWithin(ctx, l.store, tx)
+		out.note(err)
+		if err == nil {
+			return
+		}
+		sleep(ctx, readRetry)
+	}
+}
--- /dev/null
+++ b/entry/anvilstorage/progress.go
@@ -0,0 +1,106 @@
+package anvilstorage
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Phase is how far a task has come, as far as a successor must know it.
+type Phase int
+
+// The phases. A task that has never been placed has no entry in its job's record.
+const (
+	Waiting Phase = iota // no run of the task can be under way
+	Bound                // a run may be under way at the worker
+	Done                 // the task has ended with success
+)
+
+// Run is the record of a task: its newest run and what is left of the earlier ones.
+type Run struct {
+	occurrence int
+	step       int
+	index      int
+	phase      Phase
+	number     int
+	failures   int
+	worker     string
+	life       int64
+	checkpoint string
+}
+
+// NewRun returns the record of a task. Worker and life tell where the run numbered number is bound.
+func NewRun(occurrence, step, index int, phase Phase, number, failures int, worker string, life int64, checkpoint string) Run {
+	return Run{
+		occurrence: occurrence, step: step, index: index, phase: phase, number: number, failures: failures,
+		worker: worker, life: life, checkpoint: checkpoint,
+	}
+}
+
+// Occurrence returns the occurrence of the job.
+func (r Run) Occurrence() int { return r.occurrence }
+
+// Step returns the step.
+func (r Run) Step() int { return r.step }
+
+// Index returns the number of the task in its step.
+func (r Run) Index() int { return r.index }
+
+// Phase returns how far the task has come.
+func (r Run) Phase() Phase { return r.phase }
+
+// Number returns the number of the newest run.
+func (r Run) Number() int { return r.number }
+
+// Failures returns how many runs have failed.
+func (r Run) Failures() int { return r.failures }
+
+// Worker returns the worker at which the run is bound.
+func (r Run) Worker() string { return r.worker }
+
+// Life returns the start of the worker's process at which the run is bound.
+func (r Run) Life() int64 { return r.life }
+
+// Checkpoint returns the newest checkpoint of the task; empty for none.
+func (r Run) Checkpoint() string { return r.checkpoint }
+
+type runRow struct {
+	Task   [3]int `json:"t"`
+	Phase  int    `json:"p"`
+	Number int    `json:"n"`
+	Failed int    `json:"f,omitempty"`
+	Worker string `json:"w,omitempty"`
+	Life   int64  `json:"l,omitempty"`
+	Saved  string `json:"c,omitempty"`
+}
+
+// ProgressRow returns the progress row of a job.
+func ProgressRow(id string, runs []Run) (Row, error) {
+	out := make([]runRow, 0, len(runs))
+	for _, r := range runs {
+		out = append(out, runRow{
+			Task: [3]int{r.occurrence, r.step, r.index}, Phase: int(r.phase), Number: r.number, Failed: r.failures,
+			Worker: r.worker, Life: r.life, Saved: r.checkpoint,
+		})
+	}
+	value, err := json.Marshal(out)
+	if err != nil {
+		return Row{}, fmt.Errorf("progress of %s: %w", id, err)
+	}
+	return NewRow(Progress, id, value), nil
+}
+
+// ParseProgress reads a progress row.
+func ParseProgress(r Row) ([]Run, error) {
+	var in []runRow
+	if err := json.Unmarshal(r.value, &in); err != nil {
+		return nil, fmt.Errorf("progress of %s: %w", r.key, err)
+	}
+	out := make([]Run, 0, len(in))
+	for _, v := range in {
+		if v.Phase < int(Waiting) || v.Phase > int(Done) {
+			return nil, fmt.Errorf("progress of %s: unknown phase %d", r.key, v.Phase)
+		}
+		out = append(out, NewRun(v.Task[0], v.Task[1], v.Task[2], Phase(v.Phase), v.Number, v.Failed, v.Worker, v.Life, v.Saved))
+	}
+	return out, nil
+}
--- /dev/null
+++ b/entry/anvilstorage/tenure.go
@@ -0,0 +1,104 @@
+package anvilstorage
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// TenureKey is the key of the only row of the tenures table.
+const TenureKey = "fleet"
+
+// Tenure tells which instance schedules. Every commit of the holder raises its count, so the row also
+// shows that the holder is alive, and which of its commits was applied last.
+type Tenure struct {
+	holder string
+	addr   string
+	token  int64
+	count  int64
+}
+
+// NewTenure returns a tenure; an empty holder says that it was given up.
+func NewTenure(holder, addr string, token, count int64) Tenure {
+	return Tenure{holder: holder, addr: addr, token: token, count: count}
+}
+
+// Holder returns the instance that schedules; empty when the tenure was given up.
+func (t Tenure) Holder() string { return t.holder }
+
+// Addr returns the address of the holder for other instances.
+func (t Tenure) Addr() string { return t.addr }
+
+// Token returns the fencing token of the holder's orders.
+func (t Tenure) Token() int64 { return t.token }
+
+// Count returns the number of commits under the token.
+func (t Tenure) Count() int64 { return t.count }
+
+type tenureRow struct {
+	Holder string `json:"holder"`
+	Addr   string `json:"addr"`
+	Token  int64  `json:"token"`
+	Count  int64  `json:"count"`
+}
+
+// TenureRow returns the row of a tenure.
+func TenureRow(t Tenure) (Row, error) {
+	value, err := json.Marshal(tenureRow{Holder: t.holder, Addr: t.addr, Token: t.token, Count: t.count})
+	if err != nil {
+		return Row{}, fmt.Errorf("tenure: %w", err)
+	}
+	return NewRow(Tenures, TenureKey, value), nil
+}
+
+// ParseTenure reads the row of a tenure.
+func ParseTenure(r Row) (Tenure, error) {
+	var in tenureRow
+	if err := json.Unmarshal(r.value, &in); err != nil {
+		return Tenure{}, fmt.Errorf("tenure: %w", err)
+	}
+	return NewTenure(in.Holder, in.Addr, in.Token, in.Count), nil
+}
+
+// Instance is an entry instance that others can ask for advice.
+type Instance struct {
+	name   string
+	addr   string
+	domain string
+}
+
+// NewInstance returns an instance with its address for other instances and its failure domain.
+func NewInstance(name, addr, domain string) Instance {
+	return Instance{name: name, addr: addr, domain: domain}
+}
+
+// Name returns the name.
+func (i Instance) Name() string { return i.name }
+
+// Addr returns the address for other instances.
+func (i Instance) Addr() string { return i.addr }
+
+// Domain returns the failure domain.
+func (i Instance) Domain() string { return i.domain }
+
+type instanceRow struct {
+	Addr   string `json:"addr"`
+	Domain string `json:"domain"`
+}
+
+// InstanceRow returns the row of an instance.
+func InstanceRow(i Instance) (Row, error) {
+	value, err := json.Marshal(instanceRow{Addr: i.addr, Domain: i.domain})
+	if err != nil {
+		return Row{}, fmt.Errorf("instance %s: %w", i.name, err)
+	}
+	return NewRow(Instances, i.name, value), nil
+}
+
+// ParseInstance reads the row of an instance.
+func ParseInstance(r Row) (Instance, error) {
+	var in instanceRow
+	if err := json.Unmarshal(r.value, &in); err != nil {
+		return Instance{}, fmt.Errorf("instance %s: %w", r.key, err)
+	}
+	return NewInstance(r.key, in.Addr, in.Domain), nil
+}
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -73,6 +73,64 @@
 	InvariantViolated ID = 9001
 )
 
+// Events of the tenure of the instance that schedules jobs.
+const (
+	TenureClaimed  ID = 6001
+	TenureDenied   ID = 6002
+	TenureGranted  ID = 6003
+	TenureLost     ID = 6004
+	TenureDeposed  ID = 6005
+	TenureReleased ID = 6006
+)
+
+// Events of the workers that run the tasks of jobs.
+const (
+	WorkerListed      ID = 6101
+	WorkerAdopted     ID = 6102
+	WorkerUnanswering ID = 6103
+	WorkerRecovered   ID = 6104
+	WorkerLapsed      ID = 6105
+	WorkerDraining    ID = 6106
+	WorkerUnlisted    ID = 6107
+	WorkerReplaced    ID = 6108
+)
+
+// Events of decisions on jobs and their runs.
+const (
+	JobAccepted  ID = 6201
+	JobRefused   ID = 6202
+	JobTaken     ID = 6203
+	JobState     ID = 6204
+	JobCancelled ID = 6205
+	JobAnswered  ID = 6206
+	RunPlaced    ID = 6301
+	StartRefused ID = 6302
+	RunEnded     ID = 6303
+	RunStopped   ID = 6304
+	RunVanished  ID = 6305
+	RunStray     ID = 6306
+	RunStalled   ID = 6307
+	RunPaced     ID = 6308
+	RunMoved     ID = 6309
+	TaskSpent    ID = 6310
+	AdviceGiven  ID = 6401
+	AdviceFailed ID = 6402
+)
+
+// Events of what the scheduler of jobs depends on.
+const (
+	PolicyApplied  ID = 6501
+	RowUnreadable  ID = 6502
+	StoreFailed    ID = 6503
+	DependencyLost ID = 6504
+	DependencyBack ID = 6505
+	LinesDropped   ID = 6506
+	ProcessStarted ID = 6601
+	ProcessLeaving ID = 6602
+	ProcessStopped ID = 6603
+	ReloadAsked    ID = 6604
+)
+
 // Entry is an event in the catalogue.
 type Entry struct {
 	id   ID
@@ -132,6 +190,48 @@
 	{PartRefused, "part refused", "Another owner changed the parts of the team first."},
 	{TableFailed, "table failed", "The table didn't answer or refused."},
 	{ChartRefused, "chart refused event", "An event came in a state whose guards all failed."},
+	{TenureClaimed, "tenure claimed", "The row of the tenure stood still or was given up, and this instance claims it."},
+	{TenureDenied, "tenure denied", "The claim failed, mostly because another instance claimed first."},
+	{TenureGranted, "tenure granted", "This instance has read all jobs and workers and schedules from now on."},
+	{TenureLost, "tenure lost", "The instance has forgotten what only the scheduling instance knows."},
+	{TenureDeposed, "tenure deposed", "Another instance has the tenure, or may have it."},
+	{TenureReleased, "tenure released", "The tenure is given up at a planned stop."},
+	{WorkerListed, "worker listed", "The platform's list has a new worker, or one that was missing."},
+	{WorkerAdopted, "worker adopted", "The worker has accepted the fencing token and told what runs there."},
+	{WorkerUnanswering, "worker unanswering", "Orders to the worker get no answer."},
+	{WorkerRecovered, "worker recovered", "The worker answers again."},
+	{WorkerLapsed, "worker lapsed", "The runs at the worker have certainly ended; they wait for another worker."},
+	{WorkerDraining, "worker draining", "The worker leaves; it gets no starts."},
+	{WorkerUnlisted, "worker unlisted", "The worker's entry is gone from the platform's list."},
+	{WorkerReplaced, "worker replaced", "This life of the worker is over."},
+	{JobAccepted, "job accepted", "A submission is stored."},
+	{JobRefused, "job refused", "A submission was not stored and will not run."},
+	{JobTaken, "job taken", "The scheduling instance has read a submission."},
+	{JobState, "job state", "The state of a job has changed."},
+	{JobCancelled, "job cancelled", "The scheduling instance has read a cancellation."},
+	{JobAnswered, "job answered", "A call about a job was answered otherwise than with its state."},
+	{RunPlaced, "run placed", "The choice of a worker is stored and the start is sent."},
+	{StartRefused, "start refused", "A start was refused or got no answer."},
+	{RunEnded, "run ended", "A worker lists the end of a run."},
+	{RunStopped, "run stopped", "A stop is sent for a run."},
+	{RunVanished, "run vanished", "A worker neither runs a task that it had confirmed nor lists its end."},
+	{RunStray, "run stray", "A worker runs a task that is not bound to it; it is stopped."},
+	{RunStalled, "run stalled", "A run shows no progress; it is stopped."},
+	{RunPaced, "run paced", "A filling task is slowed down or let go because of a serving task."},
+	{RunMoved, "run moved", "A run is stopped because its worker leaves before it ends."},
+	{TaskSpent, "task spent", "A task has failed as often as its queue allows."},
+	{AdviceGiven, "advice given", "The advisor has told which workers may run a step."},
+	{AdviceFailed, "advice failed", "A question to the advisor got no answer."},
+	{PolicyApplied, "policy applied", "A newer configuration of the platform is in force here."},
+	{RowUnreadable, "row unreadable", "A row or entry can't be read or written and is left out."},
+	{StoreFailed, "store failed", "A transaction or reading failed for good."},
+	{DependencyLost, "dependency lost", "Something that the instance depends on doesn't answer."},
+	{DependencyBack, "dependency back", "It answers again."},
+	{LinesDropped, "lines dropped", "Log lines were dropped because the output could not keep up."},
+	{ProcessStarted, "process started", "The process takes calls."},
+	{ProcessLeaving, "process leaving", "The process was told to stop."},
+	{ProcessStopped, "process stopped", "The process ends."},
+	{ReloadAsked, "reload asked", "The settings file was read again."},
 	{InvariantViolated, "invariant violated", "An invariant of section 1.2 of the design does not hold."},
 }
 
--- /dev/null
+++ b/lib/anviljob/job.go
@@ -0,0 +1,231 @@
+// Package anviljob holds what callers submit: jobs that consist of steps of equal tasks, once or at a
+// number of times.
+package anviljob
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"anvilhold.org/lib/anvilclock"
+)
+
+// Repeat says when the steps of a job run: count occurrences, the first at a time since 1970, the others
+// at an interval. The zero value is a job that runs once, at once.
+type Repeat struct {
+	count    int
+	first    anvilclock.Millis
+	interval anvilclock.Millis
+}
+
+// NewRepeat returns count occurrences from first on.
+func NewRepeat(count int, first, interval anvilclock.Millis) Repeat {
+	return Repeat{count: count, first: first, interval: interval}
+}
+
+// Timed reports whether the occurrences are due at set times.
+func (r Repeat) Timed() bool { return r.count > 0 }
+
+// Count returns the number of occurrences, at least one.
+func (r Repeat) Count() int { return max(r.count, 1) }
+
+// Due returns when an occurrence is due, in milliseconds since 1970; 0 for at once.
+func (r Repeat) Due(occurrence int) anvilclock.Millis {
+	if !r.Timed() {
+		return 0
+	}
+	return r.first + anvilclock.Millis(occurrence)*r.interval
+}
+
+// Spec is what a job consists of.
+type Spec struct {
+	payload string
+	steps   []Step
+	repeat  Repeat
+}
+
+// Bounds of a job. The record of a job's progress must fit a row of the store, at some 60 bytes a task.
+const (
+	maxSteps   = 64
+	maxTasks   = 1000
+	maxPayload = 4000
+	maxRepeats = 10000
+)
+
+// NewSpec returns a job's description. The payload is passed to every task. An error says what can
+// never run.
+func NewSpec(payload string, steps []Step, repeat Repeat) (*Spec, error) {
+	if len(payload) > maxPayload {
+		return nil, fmt.Errorf("the payload is longer than %d bytes", maxPayload)
+	}
+	if len(steps) == 0 || len(steps) > maxSteps {
+		return nil, fmt.Errorf("a job has 1 to %d steps", maxSteps)
+	}
+	if repeat.count < 0 || repeat.count > maxRepeats {
+		return nil, fmt.Errorf("a job has at most %d occurrences", maxRepeats)
+	}
+	tasks := 0
+	for i := range steps {
+		if err := checkStep(&steps[i], i); err != nil {
+			return nil, err
+		}
+		tasks += steps[i].count
+	}
+	if tasks > maxTasks {
+		return nil, fmt.Errorf("a job has at most %d tasks", maxTasks)
+	}
+	return &Spec{payload: payload, steps: steps, repeat: repeat}, nil
+}
+
+func checkStep(s *Step, index int) error {
+	if s.count < 1 || s.count > maxTasks {
+		return fmt.Errorf("step %d: the number of tasks is not 1 to %d", index, maxTasks)
+	}
+	if s.size.Negative() {
+		return fmt.Errorf("step %d: a size below 0", index)
+	}
+	for _, a := range s.after {
+		if a < 0 || a >= index {
+			return fmt.Errorf("step %d: step %d is not an earlier one", index, a)
+		}
+	}
+	return nil
+}
+
+// Payload returns what is passed to every task.
+func (s *Spec) Payload() string { return s.payload }
+
+// Steps returns the number of steps.
+func (s *Spec) Steps() int { return len(s.steps) }
+
+// Step returns a step.
+func (s *Spec) Step(i int) *Step { return &s.steps[i] }
+
+// Repeat returns when the steps run.
+func (s *Spec) Repeat() Repeat { return s.repeat }
+
+// Chain returns how long the longest chain of steps takes by the estimates, with extra for each step.
+func (s *Spec) Chain(extra anvilclock.Millis) anvilclock.Millis {
+	var longest anvilclock.Millis
+	for _, d := range s.Tails(extra) {
+		longest = max(longest, d)
+	}
+	return longest
+}
+
+// Tails returns, for each step, how long the longest chain that begins with it takes by the estimates,
+// with extra for each step.
+func (s *Spec) Tails(extra anvilclock.Millis) []anvilclock.Millis {
+	tails := make([]anvilclock.Millis, len(s.steps))
+	for i := len(s.steps) - 1; i >= 0; i-- {
+		tails[i] += s.steps[i].estimate + extra
+		for _, a := range s.steps[i].after {
+			tails[a] = max(tails[a], tails[i])
+		}
+	}
+	return tails
+}
+
+// Lasting reports whether some step runs until the job is cancelled.
+func (s *Spec) Lasting() bool {
+	for i := range s.steps {
+		if s.steps[i].lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// State is what callers learn of a job.
+type State string
+
+// The states of a job.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Ended reports whether the state is final.
+func (s State) Ended() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// Submission is an accepted job.
+type Submission struct {
+	id    string
+	queue string
+	team  string
+	at    anvilclock.Millis
+	spec  *Spec
+}
+
+// NewSubmission returns a job of a team in a queue, accepted at a time of the store's clock.
+func NewSubmission(id, queue, team string, at anvilclock.Millis, spec *Spec) *Submission {
+	return &Submission{id: id, queue: queue, team: team, at: at, spec: spec}
+}
+
+// ID returns the job's id.
+func (s *Submission) ID() string { return s.id }
+
+// Queue returns the name of the job's queue.
+func (s *Submission) Queue() string { return s.queue }
+
+// Team returns the name of the job's team; empty for work from an open queue.
+func (s *Submission) Team() string { return s.team }
+
+// At returns when the job was accepted, by the store's clock.
+func (s *Submission) At() anvilclock.Millis { return s.at }
+
+// Spec returns what the job consists of.
+func (s *Submission) Spec() *Spec { return s.spec }
+
+// TaskID names a task of a job.
+type TaskID struct {
+	job        string
+	occurrence int
+	step       int
+	index      int
+}
+
+// NewTaskID returns the name of a task.
+func NewTaskID(job string, occurrence, step, index int) TaskID {
+	return TaskID{job: job, occurrence: occurrence, step: step, index: index}
+}
+
+// ParseTaskID reads the form that String prints.
+func ParseTaskID(text string) (TaskID, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return TaskID{}, fmt.Errorf("task name %q has not four parts", text)
+	}
+	var n [3]int
+	for i := range n {
+		v, err := strconv.Atoi(parts[i+1])
+		if err != nil || v < 0 {
+			return TaskID{}, fmt.Errorf("task name %q: %q is not a number", text, parts[i+1])
+		}
+		n[i] = v
+	}
+	return TaskID{job: parts[0], occurrence: n[0], step: n[1], index: n[2]}, nil
+}
+
+// Job returns the job's id.
+func (t TaskID) Job() string { return t.job }
+
+// Occurrence returns the number of the occurrence, from 0.
+func (t TaskID) Occurrence() int { return t.occurrence }
+
+// Step returns the number of the step, from 0.
+func (t TaskID) Step() int { return t.step }
+
+// Index returns the number of the task in its step, from 0.
+func (t TaskID) Index() int { return t.index }
+
+// StepName returns the name of the task's step in the form JOB.OCCURRENCE.STEP.
+func (t TaskID) StepName() string {
+	return t.job + "." + strconv.Itoa(t.occurrence) + "." + strconv.Itoa(t.step)
+}
+
+// String returns the name in the form JOB.OCCURRENCE.STEP.INDEX.
+func (t TaskID) String() string { return t.StepName() + "." + strconv.Itoa(t.index) }
--- /dev/null
+++ b/lib/anviljob/step.go
@@ -0,0 +1,135 @@
+package anviljob
+
+import (
+	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anvilsize"
+)
+
+// Step is a number of equal tasks of a job.
+type Step struct {
+	count       int
+	size        anvilsize.Size
+	estimate    anvilclock.Millis
+	after       []int
+	label       string
+	rack        string
+	spread      int
+	image       string
+	target      anvilclock.Millis
+	missing     int
+	checkpoints bool
+	gang        bool
+	sameRack    bool
+	speculative bool
+	lasting     bool
+	fills       bool
+}
+
+// StepOption sets an optional part of a Step.
+type StepOption func(*Step)
+
+// WithEstimate sets a rough estimate of how long a task runs.
+func WithEstimate(d anvilclock.Millis) StepOption { return func(s *Step) { s.estimate = d } }
+
+// WithAfter names the earlier steps whose tasks must all be done first.
+func WithAfter(steps ...int) StepOption { return func(s *Step) { s.after = steps } }
+
+// WithLabel names a label that a worker must have.
+func WithLabel(label string) StepOption { return func(s *Step) { s.label = label } }
+
+// WithRack names the rack where the data is.
+func WithRack(rack string) StepOption { return func(s *Step) { s.rack = rack } }
+
+// WithSpread bounds how many tasks of the step run on one worker; 0 for no bound.
+func WithSpread(n int) StepOption { return func(s *Step) { s.spread = n } }
+
+// WithImage names what the tasks run.
+func WithImage(image string) StepOption { return func(s *Step) { s.image = image } }
+
+// WithTarget sets the tail latency below which a serving task must stay.
+func WithTarget(d anvilclock.Millis) StepOption { return func(s *Step) { s.target = d } }
+
+// WithMissing sets how many tasks of a lasting step may be away because of the scheduler.
+func WithMissing(n int) StepOption { return func(s *Step) { s.missing = n } }
+
+// WithCheckpoints says that tasks save their progress.
+func WithCheckpoints(on bool) StepOption { return func(s *Step) { s.checkpoints = on } }
+
+// WithGang says that the tasks work only together.
+func WithGang(on, sameRack bool) StepOption {
+	return func(s *Step) { s.gang, s.sameRack = on, sameRack }
+}
+
+// WithSpeculative says that copies of a task may run in parallel.
+func WithSpeculative(on bool) StepOption { return func(s *Step) { s.speculative = on } }
+
+// WithLasting says that the tasks run until the job is cancelled.
+func WithLasting(on bool) StepOption { return func(s *Step) { s.lasting = on } }
+
+// WithFills says that the tasks use the processor time that other tasks leave unused.
+func WithFills(on bool) StepOption { return func(s *Step) { s.fills = on } }
+
+// NewStep returns a step of count tasks, each of size.
+func NewStep(count int, size anvilsize.Size, opts ...StepOption) Step {
+	s := Step{count: count, size: size}
+	for _, opt := range opts {
+		opt(&s)
+	}
+	return s
+}
+
+// Count returns the number of tasks.
+func (s *Step) Count() int { return s.count }
+
+// Size returns what a task asks for, which counts against its team's limit.
+func (s *Step) Size() anvilsize.Size { return s.size }
+
+// Room returns what a task takes of a worker's capacity.
+func (s *Step) Room() anvilsize.Size {
+	if s.fills {
+		return anvilsize.New(0, s.size.Memory(), s.size.Accel())
+	}
+	return s.size
+}
+
+// Estimate returns a rough estimate of how long a task runs.
+func (s *Step) Estimate() anvilclock.Millis { return s.estimate }
+
+// After returns the earlier steps whose tasks must all be done first.
+func (s *Step) After() []int { return s.after }
+
+// Label returns the label that a worker must have; empty for any worker.
+func (s *Step) Label() string { return s.label }
+
+// Rack returns the rack where the data is; empty for none.
+func (s *Step) Rack() string { return s.rack }
+
+// Spread returns how many tasks of the step may run on one worker; 0 for no bound.
+func (s *Step) Spread() int { return s.spread }
+
+// Image returns what the tasks run.
+func (s *Step) Image() string { return s.image }
+
+// Target returns the tail latency below which a serving task must stay; 0 for other tasks.
+func (s *Step) Target() anvilclock.Millis { return s.target }
+
+// Missing returns how many tasks of a lasting step may be away because of the scheduler.
+func (s *Step) Missing() int { return s.missing }
+
+// Checkpoints reports whether tasks save their progress.
+func (s *Step) Checkpoints() bool { return s.checkpoints }
+
+// Gang reports whether the tasks work only together.
+func (s *Step) Gang() bool { return s.gang }
+
+// SameRack reports whether a gang is faster on one rack.
+func (s *Step) SameRack() bool { return s.sameRack }
+
+// Speculative reports whether copies of a task may run in parallel.
+func (s *Step) Speculative() bool { return s.speculative }
+
+// Lasting reports whether the tasks run until the job is cancelled.
+func (s *Step) Lasting() bool { return s.lasting }
+
+// Fills reports whether the tasks use the processor time that others leave unused.
+func (s *Step) Fills() bool { return s.fills }
