--- a/entry/anvillog/log.go
+++ b/entry/anvillog/log.go
@@ -2,6 +2,7 @@
 package anvillog
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -88,11 +89,30 @@
 		lines = fmt.Appendf(lines, "{\"level\":\"info\",\"msg\":\"lines dropped\",\"event\":6506,\"lines\":%d}\n", n-w.told)
 		w.told = n
 	}
-	if len(lines) > 0 {
-		_, _ = w.out.Write(lines)
+	for len(lines) > 0 {
+		n := chunk(lines)
+		_, _ = w.out.Write(lines[:n])
+		lines = lines[n:]
 	}
 }
 
+// pipeBytes is the most that a pipe takes in one piece, so that lines of several processes don't mix.
+const pipeBytes = 4096
+
+// chunk returns the length of the whole lines that fit into one write, at least one line.
+func chunk(lines []byte) int {
+	if len(lines) <= pipeBytes {
+		return len(lines)
+	}
+	if n := bytes.LastIndexByte(lines[:pipeBytes], '\n'); n >= 0 {
+		return n + 1
+	}
+	if n := bytes.IndexByte(lines, '\n'); n >= 0 {
+		return n + 1
+	}
+	return len(lines)
+}
+
 // Close writes what waits and ends the writer.
 func (w *Writer) Close() {
 	close(w.done)
--- a/entry/anvilscheduler/ask.go
+++ b/entry/anvilscheduler/ask.go
@@ -12,23 +12,26 @@
 // tickets is what the advisor has said about a stage. Which workers it approves does not change; the
 // tickets lapse.
 type tickets struct {
-	asked  bool
 	asking bool
 	again  anvilclock.Millis
-	byID   map[string]ticket
-	seen   int
+	// byID holds an entry for each worker that the advisor was asked about.
+	byID map[string]ticket
 }
 
 type ticket struct {
-	text  string
-	until anvilclock.Millis
+	approved bool
+	text     string
+	until    anvilclock.Millis
 }
 
-func (t *tickets) approved(worker string) bool {
+// judged reports whether the advisor was asked about a worker.
+func (t *tickets) judged(worker string) bool {
 	_, ok := t.byID[worker]
 	return ok
 }
 
+func (t *tickets) approved(worker string) bool { return t.byID[worker].approved }
+
 func (t *tickets) valid(worker string, at anvilclock.Millis) bool { return t.byID[worker].until > at }
 
 func (t *tickets) text(worker string) string { return t.byID[worker].text }
@@ -104,8 +107,8 @@
 	}
 }
 
-// toAsk returns the workers about which a stage must ask: at first all that could run it, later those of
-// the approved ones that have room and whose tickets are about to lapse.
+// toAsk returns the workers about which a stage must ask: those that it has not asked about yet, and those
+// of the approved ones that have room and whose tickets are about to lapse.
 func (l *Loop) toAsk(c candidate, now anvilclock.Millis) []string {
 	s := c.s
 	var out []string
@@ -116,7 +119,7 @@
 		if w.listed.draining || w.machine.State() != workerReady || !w.labelled(s.step.Label()) || !s.step.Room().Fits(w.listed.capacity) {
 			continue
 		}
-		if !s.tickets.asked {
+		if !s.tickets.judged(w.id()) {
 			out = append(out, w.id())
 			continue
 		}
@@ -128,9 +131,6 @@
 			out = append(out, w.id())
 		}
 	}
-	if s.tickets.asked && s.step.Gang() && len(out) == 0 {
-		return nil
-	}
 	return out
 }
 
@@ -149,7 +149,7 @@
 	if k.self {
 		addr = ""
 	}
-	m := advised{token: l.tenure.token, s: s, asker: k, sent: now, cost: cost, first: !s.tickets.asked}
+	m := advised{token: l.tenure.token, s: s, asker: k, sent: now, names: names}
 	ctx, advisors, step := l.tenureContext(), l.advisors, s.name()
 	go func() {
 		ctx, cancel := withTimeout(ctx, cost+askMargin)
@@ -178,12 +178,14 @@
 		l.meter.Count("advice.failed")
 		return
 	}
-	s.tickets.asked = true
 	if s.tickets.byID == nil {
 		s.tickets.byID = map[string]ticket{}
 	}
+	for _, name := range m.names {
+		s.tickets.byID[name] = ticket{}
+	}
 	for _, t := range m.advice.Tickets() {
-		s.tickets.byID[t.Worker()] = ticket{text: t.Text(), until: now + m.advice.Validity()}
+		s.tickets.byID[t.Worker()] = ticket{approved: true, text: t.Text(), until: now + m.advice.Validity()}
 	}
 	s.tickets.again = now + askRetry
 	l.log.Record(anvilevent.AdviceGiven, "step", s.name(), "instance", m.asker.instance.Name(),
--- a/entry/anvilscheduler/messages.go
+++ b/entry/anvilscheduler/messages.go
@@ -123,8 +123,7 @@
 	s      *stage
 	asker  *asker
 	sent   anvilclock.Millis
-	cost   anvilclock.Millis
-	first  bool
+	names  []string
 	advice Advice
 	err    error
 }
--- a/entry/anvilscheduler/pass.go
+++ b/entry/anvilscheduler/pass.go
@@ -119,7 +119,7 @@
 
 // keepRoom keeps room for the tasks of a stage that only lack tickets.
 func (p *placing) keepRoom(c candidate) {
-	if !c.queue.Advice().Needed() || !c.s.tickets.asked {
+	if !c.queue.Advice().Needed() {
 		return
 	}
 	for _, t := range c.s.tasks {
--- a/entry/anvilscheduler/watch.go
+++ b/entry/anvilscheduler/watch.go
@@ -53,7 +53,10 @@
 	down  bool
 }
 
-func (o *outage) note(err error) {
+func (o *outage) note(ctx context.Context, err error) {
+	if ctx.Err() != nil || (err != nil && anvilstorage.As(err).Kind() == anvilstorage.Compacted) {
+		return
+	}
 	switch now := o.clock.Now(); {
 	case err != nil && !o.down:
 		o.down, o.since = true, now
@@ -75,7 +78,7 @@
 		call, cancel := withTimeout(ctx, policyWait+readTimeout)
 		page, err := l.roster.Policy(call, after, policyWait)
 		cancel()
-		out.note(err)
+		out.note(ctx, err)
 		switch {
 		case err == nil:
 			// The answer is as new as its sending, which is not known; the call's begin is safe.
@@ -98,7 +101,7 @@
 		call, cancel := withTimeout(ctx, watchGap)
 		page, err := l.store.Scan(call, anvilstorage.Tenures)
 		cancel()
-		out.note(err)
+		out.note(ctx, err)
 		m := tenureRead{since: since, err: err}
 		for _, r := range page.Rows() {
 			if r.Key() == anvilstorage.TenureKey {
@@ -124,7 +127,7 @@
 	for ctx.Err() == nil {
 		whole := after == 0
 		page, err := l.readTable(ctx, table, after)
-		out.note(err)
+		out.note(ctx, err)
 		switch {
 		case err == nil:
 			if whole || len(page.Rows()) > 0 {
@@ -199,7 +202,7 @@
 		call, cancel := withTimeout(ctx, feedWait+readTimeout)
 		page, err := l.roster.Workers(call, after, feedWait)
 		cancel()
-		out.note(err)
+		out.note(ctx, err)
 		switch {
 		case err == nil:
 			if whole || len(page.entries) > 0 {
@@ -227,7 +230,7 @@
 	out := l.outage("registration")
 	for ctx.Err() == nil {
 		_, err := commitWithin(ctx, l.store, tx)
-		out.note(err)
+		out.note(ctx, err)
 		if err == nil {
 			return
 		}
