anvilscheduler: ask the advisor where room is expected, several questions at a time

Now short questions are sent ahead of answers, and a step asks only when free room, or room that runs give back soon, is left for it by more urgent ones. Jobs that a team sends beyond its weight come after the others'. A start whose ticket has lapsed while its commit was on its way is not sent. Instances far from the store wait longer with their first claim.

--- a/entry/anvilscheduler/ask.go
+++ b/entry/anvilscheduler/ask.go
@@ -1,9 +1,6 @@
 package anvilscheduler
 
 import (
-	"cmp"
-	"slices"
-
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilevent"
@@ -34,8 +31,6 @@
 
 func (t *tickets) valid(worker string, at anvilclock.Millis) bool { return t.byID[worker].until > at }
 
-func (t *tickets) text(worker string) string { return t.byID[worker].text }
-
 // drop makes a ticket that was refused invalid.
 func (t *tickets) drop(worker string) {
 	if k, ok := t.byID[worker]; ok {
@@ -51,9 +46,11 @@
 
 type asker struct {
 	instance anvilstorage.Instance
-	busy     bool
-	rest     anvilclock.Millis
-	self     bool
+	// calls is the number of questions on their way, load the time that the advisor needs for them.
+	calls int
+	load  anvilclock.Millis
+	rest  anvilclock.Millis
+	self  bool
 }
 
 func newAsking(self anvilstorage.Instance) asking {
@@ -73,37 +70,34 @@
 	}
 }
 
-// free returns the instances that can ask now, in a fixed order.
-func (a *asking) free(now anvilclock.Millis) []*asker {
-	var out []*asker
+// pick returns the instance that has a question answered first; nil when all have enough to do. Short
+// questions are sent ahead of the answers to others, because the way to the advisor takes longer than
+// they do.
+func (a *asking) pick(cost, now anvilclock.Millis) *asker {
+	var best *asker
 	for _, k := range a.askers {
-		if !k.busy && now >= k.rest {
-			out = append(out, k)
+		if now < k.rest || (k.calls > 0 && k.load+cost > askAhead) {
+			continue
+		}
+		if best == nil || k.load < best.load || (k.load == best.load && cmpString(k.instance.Name(), best.instance.Name()) < 0) {
+			best = k
 		}
 	}
-	slices.SortFunc(out, func(a, b *asker) int {
-		return cmp.Or(cmp.Compare(a.rest, b.rest), cmpString(a.instance.Name(), b.instance.Name()))
-	})
-	return out
+	return best
 }
 
-// askForTickets has the instances that are free ask about the most urgent stages that lack tickets.
-func (l *Loop) askForTickets(list []candidate, now anvilclock.Millis) {
-	free := l.asking.free(now)
-	for _, c := range list {
-		if len(free) == 0 {
-			return
-		}
-		tk := &c.s.tickets
-		if !c.queue.Advice().Needed() || tk.asking || now < tk.again {
-			continue
-		}
-		names := l.toAsk(c, now)
-		if len(names) == 0 {
-			continue
-		}
-		l.ask(c, names, free[0], now)
-		free = free[1:]
+// askForTickets asks about a stage that lacks tickets, if an instance can ask now.
+func (l *Loop) askForTickets(c candidate, now anvilclock.Millis) {
+	tk := &c.s.tickets
+	if tk.asking || now < tk.again {
+		return
+	}
+	k := l.asking.pick(c.queue.Advice().Cost(1), now)
+	if k == nil {
+		return
+	}
+	if names := l.toAsk(c, now); len(names) > 0 {
+		l.ask(c, names, k, now)
 	}
 }
 
@@ -144,15 +138,18 @@
 func (l *Loop) ask(c candidate, names []string, k *asker, now anvilclock.Millis) {
 	s := c.s
 	cost := c.queue.Advice().Cost(len(names))
-	s.tickets.asking, k.busy = true, true
+	s.tickets.asking = true
+	k.calls++
+	k.load += cost
 	addr := k.instance.Addr()
 	if k.self {
 		addr = ""
 	}
-	m := advised{token: l.tenure.token, s: s, asker: k, sent: now, names: names}
+	m := advised{token: l.tenure.token, s: s, asker: k, sent: now, cost: cost, names: names}
+	ahead := k.load - cost
 	ctx, advisors, step := l.tenureContext(), l.advisors, s.name()
 	go func() {
-		ctx, cancel := withTimeout(ctx, cost+askMargin)
+		ctx, cancel := withTimeout(ctx, ahead+cost+askMargin)
 		defer cancel()
 		m.advice, m.err = advisors.Ask(ctx, addr, step, names)
 		l.post(m)
@@ -166,7 +163,9 @@
 	}
 	now := l.clock.Now()
 	s := m.s
-	s.tickets.asking, m.asker.busy = false, false
+	s.tickets.asking = false
+	m.asker.calls--
+	m.asker.load -= m.cost
 	l.wake()
 	if m.err != nil {
 		m.asker.rest = now + askRest
--- a/entry/anvilscheduler/messages.go
+++ b/entry/anvilscheduler/messages.go
@@ -123,6 +123,7 @@
 	s      *stage
 	asker  *asker
 	sent   anvilclock.Millis
+	cost   anvilclock.Millis
 	names  []string
 	advice Advice
 	err    error
--- a/entry/anvilscheduler/pass.go
+++ b/entry/anvilscheduler/pass.go
@@ -5,12 +5,14 @@
 	"slices"
 
 	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anvilevent"
 	"anvilhold.org/lib/anvilpolicy"
 	"anvilhold.org/lib/anvilsize"
 )
 
 // urgency orders stages: first those whose jobs can still be on time, then those that will be late, then
-// those that will be too late to matter; within these by the latest time at which they must begin.
+// those that their team sent beyond its share, then those that will be too late to matter; within these by
+// the latest time at which they must begin.
 type urgency struct {
 	band   int
 	latest anvilclock.Millis
@@ -20,6 +22,7 @@
 const (
 	bandTimely = iota
 	bandLate
+	bandExcess
 	bandHopeless
 )
 
@@ -37,25 +40,51 @@
 		return
 	}
 	list := l.candidates(now)
-	p := &placing{loop: l, now: now, shadow: map[*worker]anvilsize.Size{}}
+	p := &placing{loop: l, now: now, shadow: map[*worker]anvilsize.Size{}, outlooks: map[string]*outlook{}}
 	for _, c := range list {
 		l.placeStage(p, c)
+		if c.s.open > 0 && c.queue.Advice().Needed() && l.withinLimit(c.s, 1) && p.expects(c) {
+			l.askForTickets(c, now)
+		}
+	}
+	l.summarize(p, len(list))
+}
+
+// summaryEvery is the pause between two summaries of what waits and why.
+const summaryEvery = anvilclock.Millis(1000)
+
+// summarize tells once a second what waits for what, and how full the pools are.
+func (l *Loop) summarize(p *placing, ready int) {
+	l.meter.Gauge("stages.ready", int64(ready))
+	if p.now-l.work.summarized < summaryEvery {
+		return
+	}
+	l.work.summarized = p.now
+	l.log.Record(anvilevent.PassSummary, "jobs", len(l.work.jobs), "ready", ready, "limit", p.short.limit, "advice", p.short.advice,
+		"ticket", p.short.ticket, "room", p.short.room)
+	for name, pool := range l.fleet.pools {
+		if len(pool) == 0 {
+			continue
+		}
+		var used, capacity anvilsize.Size
+		usable := 0
+		for _, w := range pool {
+			if w.usable(p.now) {
+				usable++
+				capacity, used = capacity.Add(w.listed.capacity), used.Add(w.used)
+			}
+		}
+		l.log.Record(anvilevent.PoolSummary, "pool", name, "workers", len(pool), "usable", usable,
+			"used", used.String(), "capacity", capacity.String())
 	}
-	l.askForTickets(list, now)
-	l.meter.Gauge("stages.ready", int64(len(list)))
 }
 
 func (l *Loop) candidates(now anvilclock.Millis) []candidate {
 	list := make([]candidate, 0, len(l.work.ready))
 	for s := range l.work.ready {
-		q, ok := l.config.policy.Queue(s.job.sub.Queue())
+		q, ok := l.queueOf(s.job)
 		if !ok {
-			// The queue was removed. Its accepted jobs go on in the pool that they had.
-			if q, ok = l.work.former[s.job.sub.Queue()]; !ok {
-				continue
-			}
-		} else {
-			l.work.former[q.Name()] = q
+			continue
 		}
 		list = append(list, candidate{s: s, queue: q, urgency: l.urgencyOf(s, q, now)})
 	}
@@ -77,6 +106,8 @@
 	objective := q.Objective(s.job.sub.Spec().Chain(0))
 	latest := begin + objective - s.tail
 	switch {
+	case s.job.excess && now <= latest+(hopeless-1)*objective:
+		return urgency{band: bandExcess, latest: latest}
 	case now <= latest:
 		return urgency{band: bandTimely, latest: latest}
 	case now <= latest+(hopeless-1)*objective:
@@ -92,6 +123,16 @@
 	// shadow is room that more urgent stages keep while they wait for tickets or for the rest of a gang.
 	shadow   map[*worker]anvilsize.Size
 	reserved int
+	short    shortage
+	outlooks map[string]*outlook
+}
+
+// shortage counts the stages that could not start all their tasks, by what they lack.
+type shortage struct {
+	limit  int
+	advice int
+	ticket int
+	room   int
 }
 
 func (p *placing) free(w *worker) anvilsize.Size { return w.free().Sub(p.shadow[w]) }
@@ -106,37 +147,53 @@
 			continue
 		}
 		if !l.withinLimit(c.s, 1) {
+			p.short.limit++
 			return
 		}
 		w := p.choose(c, t, true)
 		if w == nil {
-			p.keepRoom(c)
+			p.lack(c, p.keepRoom(c))
 			return
 		}
 		l.place(t, w)
 	}
 }
 
-// keepRoom keeps room for the tasks of a stage that only lack tickets.
-func (p *placing) keepRoom(c candidate) {
+// lack counts what a stage lacks; room says that there is some at approved workers.
+func (p *placing) lack(c candidate, room bool) {
+	switch {
+	case c.queue.Advice().Needed() && len(c.s.tickets.byID) == 0:
+		p.short.advice++
+	case room:
+		p.short.ticket++
+	default:
+		p.short.room++
+	}
+}
+
+// keepRoom keeps room for the tasks of a stage that only lack tickets, and reports whether there is any.
+func (p *placing) keepRoom(c candidate) bool {
 	if !c.queue.Advice().Needed() {
-		return
+		return false
 	}
+	kept := false
 	for _, t := range c.s.tasks {
 		if t.machine.State() != taskWaiting {
 			continue
 		}
 		w := p.choose(c, t, false)
 		if w == nil {
-			return
+			break
 		}
+		kept = true
 		p.shadow[w] = p.shadow[w].Add(c.s.step.Room())
 	}
+	return kept
 }
 
 func (l *Loop) place(t *task, w *worker) {
 	t.worker = w
-	t.ticket = t.stage.tickets.text(w.id())
+	t.ticket = t.stage.tickets.byID[w.id()]
 	l.fireTask(t, "place")
 }
 
@@ -230,7 +287,11 @@
 // placeGang binds all tasks of a gang or none.
 func (l *Loop) placeGang(p *placing, c candidate) {
 	s := c.s
-	if s.open < len(s.tasks) || !l.withinLimit(s, int64(len(s.tasks))) {
+	if s.open < len(s.tasks) {
+		return
+	}
+	if !l.withinLimit(s, int64(len(s.tasks))) {
+		p.short.limit++
 		return
 	}
 	if plan := p.plan(c, true); plan != nil {
@@ -245,6 +306,7 @@
 		return
 	}
 	plan := p.plan(c, false)
+	p.lack(c, plan != nil)
 	if plan == nil && p.reserved < reservations && c.urgency.band != bandHopeless {
 		plan = p.reserve(c)
 	}
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 
 	"anvilhold.org/lib/anvilchart"
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilevent"
 	"anvilhold.org/lib/anviljob"
+	"anvilhold.org/lib/anvilpolicy"
 )
 
 func (l *Loop) bindTask() *anvilchart.Binding[*task] {
@@ -60,14 +62,25 @@
 	return failures >= s.job.loop.attempts(s.job)
 }
 
-// attempts returns how often a task of a job may fail.
+// attempts returns how often a task of a job may fail. While the queue is not known, nothing is failed.
 func (l *Loop) attempts(j *job) int {
+	if q, ok := l.queueOf(j); ok {
+		return q.Attempts()
+	}
+	return math.MaxInt
+}
+
+// queueOf returns the queue of a job; one that was removed as it last was.
+func (l *Loop) queueOf(j *job) (anvilpolicy.Queue, bool) {
+	name := j.sub.Queue()
 	if l.config.policy != nil {
-		if q, ok := l.config.policy.Queue(j.sub.Queue()); ok {
-			return q.Attempts()
+		if q, ok := l.config.policy.Queue(name); ok {
+			l.work.former[name] = q
+			return q, true
 		}
 	}
-	return 1
+	q, ok := l.work.former[name]
+	return q, ok
 }
 
 // bind reserves the worker that was chosen. A run that a former holder has bound keeps its number.
@@ -175,11 +188,18 @@
 
 // sendBound sends the starts whose bindings are stored.
 func (l *Loop) sendBound(bindings []binding) {
-	valid := l.valid(l.clock.Now())
+	now := l.clock.Now()
+	valid := l.valid(now)
 	for _, b := range bindings {
 		if b.t.run != b.run || b.t.machine.State() != taskPlaced {
 			continue
 		}
+		if u := b.t.ticket.until; u != 0 && u < now+sendMargin {
+			// The commit took longer than the ticket was valid.
+			l.meter.Count("ticket.lapsed")
+			l.fireTask(b.t, "refused")
+			continue
+		}
 		if valid {
 			l.fireTask(b.t, "committed")
 			continue
@@ -213,7 +233,7 @@
 	w := t.worker
 	o := StartOrder{
 		task: t.id, run: t.run, payload: t.stage.job.sub.Spec().Payload(), token: l.tenure.token,
-		until: w.workerNow(now) + l.leaseFor(), checkpoint: t.resumeFrom(), ticket: t.ticket,
+		until: w.workerNow(now) + l.leaseFor(), checkpoint: t.resumeFrom(), ticket: t.ticket.text,
 	}
 	w.promise(o.until, now)
 	t.moved = now
--- a/entry/anvilscheduler/tenure.go
+++ b/entry/anvilscheduler/tenure.go
@@ -81,7 +81,15 @@
 		t.row, t.current, t.since = m.row.Version(), current, m.since
 	}
 	t.looked = m.since
-	if t.row == 0 || current.Holder() == "" || m.since-t.since >= vacantAfter+t.trip*distanceFactor {
+	if l.config.policy == nil || !l.config.synced {
+		// Whoever schedules must know the queues and which jobs have ended.
+		return
+	}
+	wait := t.trip * distanceFactor
+	if t.row != 0 && current.Holder() != "" {
+		wait += vacantAfter
+	}
+	if m.since-t.since >= wait {
 		l.fireTenure("vacant")
 	}
 }
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -91,6 +91,10 @@
 	// tickHolding and tickFollowing are the resolutions of timers.
 	tickHolding   = anvilclock.Millis(20)
 	tickFollowing = anvilclock.Millis(100)
+	// sendMargin is how long a ticket must still be valid when its start is sent.
+	sendMargin = anvilclock.Millis(25)
+	// shareWindow is the time over which a team may use its share of jobs a second at once.
+	shareWindow = anvilclock.Millis(5000)
 	// ticketMargin is how long a ticket must still be valid when a start is decided: the start is stored
 	// first and then travels to the worker.
 	ticketMargin = anvilclock.Millis(120)
@@ -100,6 +104,11 @@
 	askRetry = anvilclock.Millis(100)
 	// askRest is how long an instance that failed to ask is left alone.
 	askRest = anvilclock.Millis(3000)
+	// askAhead bounds the work of the advisor that one instance may have waiting: the way there and back
+	// takes up to 50 ms, and what waits longer is better asked by another instance.
+	askAhead = anvilclock.Millis(100)
+	// askTravel is how long a question and its answer are on their way, beside the advisor's own time.
+	askTravel = anvilclock.Millis(120)
 	// askWorkers is how many workers a question may name.
 	askWorkers = 100
 	// reservations is how many gangs may keep room free for themselves at a time.
--- a/entry/anvilscheduler/work.go
+++ b/entry/anvilscheduler/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilchart"
@@ -23,12 +24,16 @@
 	cancels map[string]bool
 	// usage is what each team has bound.
 	usage map[string]anvilsize.Size
+	// shares measures how many jobs each team sends.
+	shares map[string]*share
 	// former holds the queues as they last were, for the jobs of a queue that was removed.
 	former map[string]anvilpolicy.Queue
 	// dirty says that something has changed since the last pass.
 	dirty   bool
 	passed  anvilclock.Millis
 	cleaned anvilclock.Millis
+	// summarized is when the last summary was logged.
+	summarized anvilclock.Millis
 	// storeOffset is the store's clock less the loop's clock.
 	storeOffset anvilclock.Millis
 }
@@ -37,6 +42,7 @@
 	return work{
 		jobs: map[string]*job{}, ready: map[*stage]bool{}, timed: map[*job]bool{}, cancels: map[string]bool{},
 		usage: map[string]anvilsize.Size{}, former: map[string]anvilpolicy.Queue{},
+		shares: map[string]*share{},
 	}
 }
 
@@ -54,6 +60,8 @@
 	// bound is the number of runs that may be under way.
 	bound     int
 	cancelled bool
+	// excess says that the team had sent more than its share when it sent the job.
+	excess bool
 	// marked says that the record waits to be stored, as entry mark of the journal.
 	marked bool
 	mark   int64
@@ -109,7 +117,7 @@
 	run        int
 	failures   int
 	checkpoint string
-	ticket     string
+	ticket     ticket
 	// sent is when the start was first sent, confirmed when the worker confirmed the last order.
 	sent      anvilclock.Millis
 	confirmed anvilclock.Millis
@@ -200,6 +208,7 @@
 		arrived: min(sub.At()-l.work.storeOffset, now),
 	}
 	l.work.jobs[sub.ID()] = j
+	j.excess = !l.withinShare(sub.Team(), j.arrived)
 	if sub.Spec().Repeat().Timed() {
 		l.work.timed[j] = true
 	} else {
@@ -208,6 +217,38 @@
 	return j
 }
 
+// share is a bucket of the jobs that a team may send; it fills with the team's weight in jobs a second.
+type share struct {
+	left float64
+	at   anvilclock.Millis
+}
+
+// withinShare counts a job of a team and reports whether it is within the team's share.
+func (l *Loop) withinShare(team string, at anvilclock.Millis) bool {
+	if l.config.policy == nil {
+		return true
+	}
+	t, ok := l.config.policy.Team(team)
+	if !ok || t.Weight() <= 0 {
+		return true
+	}
+	most := t.Weight() * float64(shareWindow) / 1000
+	b := l.work.shares[team]
+	if b == nil {
+		b = &share{left: most, at: at}
+		l.work.shares[team] = b
+	}
+	if at > b.at {
+		b.left = min(most, b.left+t.Weight()*float64(at-b.at)/1000)
+		b.at = at
+	}
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
+
 // layOut makes the stages of the next occurrence.
 func (l *Loop) layOut(j *job) {
 	spec := j.sub.Spec()
@@ -305,6 +346,7 @@
 func (l *Loop) adoptJobs(intake, progress anvilstorage.Page) map[string]bool {
 	l.work.storeOffset = intake.Now() - l.clock.Now()
 	cancels := map[string]bool{}
+	var subs []*anviljob.Submission
 	for _, r := range intake.Rows() {
 		if id, ok := anvilstorage.CancelledID(r.Key()); ok {
 			cancels[id] = true
@@ -315,6 +357,12 @@
 			l.log.Fault(anvilevent.RowUnreadable, err, "table", string(anvilstorage.Intake), "key", r.Key())
 			continue
 		}
+		subs = append(subs, sub)
+	}
+	slices.SortFunc(subs, func(a, b *anviljob.Submission) int {
+		return cmp.Or(cmp.Compare(a.At(), b.At()), cmpString(a.ID(), b.ID()))
+	})
+	for _, sub := range subs {
 		l.admit(sub)
 	}
 	for _, r := range progress.Rows() {
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -115,6 +115,8 @@
 	TaskSpent    ID = 6310
 	AdviceGiven  ID = 6401
 	AdviceFailed ID = 6402
+	PassSummary  ID = 6403
+	PoolSummary  ID = 6404
 )
 
 // Events of what the scheduler of jobs depends on.
@@ -222,6 +224,8 @@
 	{TaskSpent, "task spent", "A task has failed as often as its queue allows."},
 	{AdviceGiven, "advice given", "The advisor has told which workers may run a step."},
 	{AdviceFailed, "advice failed", "A question to the advisor got no answer."},
+	{PassSummary, "pass summary", "Once a second: how many steps wait, and for what."},
+	{PoolSummary, "pool summary", "Once a second: how full a pool is."},
 	{PolicyApplied, "policy applied", "A newer configuration of the platform is in force here."},
 	{RowUnreadable, "row unreadable", "A row or entry can't be read or written and is left out."},
 	{StoreFailed, "store failed", "A transaction or reading failed for good."},
