anvilscheduler: count a failed run once

The record now says which run failed last. Effects go through one function, so that tests run them in line.

--- a/entry/anvilscheduler/ask.go
+++ b/entry/anvilscheduler/ask.go
@@ -148,12 +148,12 @@
 	m := advised{token: l.tenure.token, s: s, asker: k, sent: now, cost: cost, names: names}
 	ahead := k.load - cost
 	ctx, advisors, step := l.tenureContext(), l.advisors, s.name()
-	go func() {
+	l.spawn(func() {
 		ctx, cancel := withTimeout(ctx, ahead+cost+askMargin)
 		defer cancel()
 		m.advice, m.err = advisors.Ask(ctx, addr, step, names)
 		l.post(m)
-	}()
+	})
 	l.meter.Count("advice.asked")
 }
 
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -315,12 +315,12 @@
 		w.promise(o.until, now)
 	}
 	ctx, workers, to, token := l.tenureContext(), l.workers, w.target(), l.tenure.token
-	go func() {
+	l.spawn(func() {
 		ctx, cancel := withTimeout(ctx, o.wait+orderTimeout)
 		defer cancel()
 		report, err := workers.Hold(ctx, to, o)
 		l.post(held{token: token, w: w, sent: now, until: o.until, seen: o.seen, report: report, err: err})
-	}()
+	})
 }
 
 func (m held) deliver(l *Loop) {
--- a/entry/anvilscheduler/health.go
+++ b/entry/anvilscheduler/health.go
@@ -90,12 +90,12 @@
 	o := PaceOrder{task: t.id, run: t.run, percent: percent, token: l.tenure.token}
 	ctx, workers, to := l.tenureContext(), l.workers, w.target()
 	l.log.Record(anvilevent.RunPaced, "task", t.id.String(), "run", t.run, "worker", w.id(), "percent", percent)
-	go func() {
+	l.spawn(func() {
 		ctx, cancel := withTimeout(ctx, orderTimeout)
 		defer cancel()
 		_, m.err = workers.Pace(ctx, to, o)
 		l.post(m)
-	}()
+	})
 }
 
 func (m paceAnswered) deliver(l *Loop) {
--- a/entry/anvilscheduler/journal.go
+++ b/entry/anvilscheduler/journal.go
@@ -161,7 +161,7 @@
 // sendBatch commits on a traffic goroutine until the outcome is known.
 func (l *Loop) sendBatch(b *batch) {
 	ctx, store, clock := l.ctx, l.store, l.clock
-	go func() {
+	l.spawn(func() {
 		defer close(b.settled)
 		begin := clock.Now()
 		for {
@@ -182,7 +182,7 @@
 				return
 			}
 		}
-	}()
+	})
 }
 
 // commitWithin commits with a time limit.
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -77,7 +77,9 @@
 	asking  asking
 	wall    wallClock
 
-	ctx    context.Context
+	ctx context.Context
+	// spawn runs a call to the outside on a traffic goroutine.
+	spawn  func(func())
 	ending chan struct{}
 }
 
@@ -130,7 +132,8 @@
 	l := &Loop{
 		self: self, store: s, roster: r, workers: w, advisors: a, clock: anvilclock.NewBoot(),
 		log: &anvilevent.Log{}, check: anvilinvariant.New(), meter: unmeasured{},
-		inbox: make(chan message, inboxSize), directory: NewDirectory(),
+		inbox: make(chan message, inboxSize), directory: NewDirectory(), ctx: context.Background(),
+		spawn:  func(f func()) { go f() },
 		bounds: bounds{maxLease: defaultMaxLease, stopGrace: defaultStopGrace},
 	}
 	for _, opt := range opts {
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -239,12 +239,12 @@
 	t.moved = now
 	m := startAnswered{token: l.tenure.token, w: w, t: t, run: t.run, sent: now, until: o.until}
 	ctx, workers, to := l.tenureContext(), l.workers, w.target()
-	go func() {
+	l.spawn(func() {
 		ctx, cancel := withTimeout(ctx, orderTimeout)
 		defer cancel()
 		m.clock, m.err = workers.Start(ctx, to, o)
 		l.post(m)
-	}()
+	})
 	t.confirmed = 0
 	t.inflight = true
 }
@@ -317,12 +317,12 @@
 	}
 	m := stopAnswered{token: l.tenure.token, w: w, t: t, run: o.run, sent: now}
 	ctx, workers, to := l.tenureContext(), l.workers, w.target()
-	go func() {
+	l.spawn(func() {
 		ctx, cancel := withTimeout(ctx, orderTimeout)
 		defer cancel()
 		m.clock, m.err = workers.Stop(ctx, to, o)
 		l.post(m)
-	}()
+	})
 }
 
 func (m stopAnswered) deliver(l *Loop) {
@@ -401,17 +401,21 @@
 	}
 }
 
-// countFailure counts a failed run; a gang fails as a whole.
+// countFailure counts a failed run once; a gang fails as a whole.
 func (l *Loop) countFailure(t *task, run int) {
-	if t.stage.step.Lasting() {
+	s := t.stage
+	if s.step.Lasting() {
 		return
 	}
-	t.failures++
-	if s := t.stage; s.failedRun != run {
+	if run > t.failedRun {
+		t.failedRun = run
+		t.failures++
+	}
+	if run > s.failedRun {
 		s.failedRun = run
 		s.failures++
 	}
-	l.mark(t.stage.job)
+	l.mark(s.job)
 }
 
 // endFormer takes the end of a run that was thought lost.
--- a/entry/anvilscheduler/tenure.go
+++ b/entry/anvilscheduler/tenure.go
@@ -108,11 +108,11 @@
 	tx.Set(row)
 	l.log.Record(anvilevent.TenureClaimed, "token", next.Token(), "from", t.current.Holder(), "unchanged", int64(l.clock.Now()-t.since))
 	ctx := l.ctx
-	go func() {
+	l.spawn(func() {
 		since := l.clock.Now()
 		receipt, err := commitWithin(ctx, l.store, tx)
 		l.post(claimed{tenure: next, since: since, row: receipt.Version(), err: err})
-	}()
+	})
 }
 
 func (m claimed) deliver(l *Loop) {
@@ -135,7 +135,7 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	l.tenure.ctx, l.tenure.cancel = ctx, cancel
 	token := l.tenure.token
-	go func() { l.post(l.readAll(ctx, token)) }()
+	l.spawn(func() { l.post(l.readAll(ctx, token)) })
 }
 
 // dropTenure forgets everything that only a holder knows.
@@ -210,7 +210,7 @@
 	l.log.Record(anvilevent.TenureReleased, "token", t.token)
 	inflight := l.journal.inflight
 	ctx := l.ctx
-	go func() {
+	l.spawn(func() {
 		if inflight != nil {
 			// The row's version is known only after the commit that is on its way.
 			<-inflight.settled
@@ -224,7 +224,7 @@
 			l.log.Fault(anvilevent.StoreFailed, err, "during", "release")
 		}
 		l.post(released{})
-	}()
+	})
 }
 
 // released says that the tenure was given up, or could not be.
--- a/entry/anvilscheduler/work.go
+++ b/entry/anvilscheduler/work.go
@@ -112,10 +112,12 @@
 	machine anvilchart.Machine
 	worker  *worker
 	// adopted names the worker of a run that a former holder has bound; empty once it was heard of.
-	adopted    string
-	life       int64
-	run        int
+	adopted string
+	life    int64
+	run     int
+	// failures counts failed runs, of which failedRun is the newest.
 	failures   int
+	failedRun  int
 	checkpoint string
 	ticket     ticket
 	// sent is when the start was first sent, confirmed when the worker confirmed the last order.
@@ -190,11 +192,12 @@
 			default:
 				worker = t.worker.id()
 			}
-			failures := t.failures
+			failures, failed := t.failures, t.failedRun
 			if s.step.Gang() {
-				failures = s.failures
+				failures, failed = s.failures, s.failedRun
 			}
-			out = append(out, anvilstorage.NewRun(s.occurrence, s.index, t.id.Index(), phase, t.run, failures, worker, life, t.checkpoint))
+			run := anvilstorage.NewRun(s.occurrence, s.index, t.id.Index(), phase, t.run)
+			out = append(out, run.Failing(failures, failed).At(worker, life).Saved(t.checkpoint))
 		}
 	}
 	return out
@@ -431,10 +434,10 @@
 		if t == nil {
 			continue
 		}
-		t.run, t.failures, t.checkpoint, t.life = r.Number(), r.Failures(), r.Checkpoint(), r.Life()
+		t.run, t.failures, t.failedRun, t.checkpoint, t.life = r.Number(), r.Failures(), r.Failed(), r.Checkpoint(), r.Life()
 		s := t.stage
 		if s.step.Gang() {
-			s.failures = max(s.failures, r.Failures())
+			s.failures, s.failedRun = max(s.failures, r.Failures()), max(s.failedRun, r.Failed())
 			if r.Checkpoint() != "" {
 				s.checkpoint = r.Checkpoint()
 			}
@@ -521,9 +524,9 @@
 		return
 	}
 	ctx, store := l.tenureContext(), l.store
-	go func() {
+	l.spawn(func() {
 		if _, err := commitWithin(ctx, store, tx); err != nil {
 			l.log.Fault(anvilevent.StoreFailed, err, "during", "clean")
 		}
-	}()
+	})
 }
--- a/entry/anvilstorage/progress.go
+++ b/entry/anvilstorage/progress.go
@@ -23,17 +23,34 @@
 	phase      Phase
 	number     int
 	failures   int
+	failed     int
 	worker     string
 	life       int64
 	checkpoint string
 }
 
-// NewRun returns the record of a task. Worker and life tell where the run numbered number is bound.
-func NewRun(occurrence, step, index int, phase Phase, number, failures int, worker string, life int64, checkpoint string) Run {
-	return Run{
-		occurrence: occurrence, step: step, index: index, phase: phase, number: number, failures: failures,
-		worker: worker, life: life, checkpoint: checkpoint,
-	}
+// NewRun returns the record of a task whose newest run has a number.
+func NewRun(occurrence, step, index int, phase Phase, number int) Run {
+	return Run{occurrence: occurrence, step: step, index: index, phase: phase, number: number}
+}
+
+// Failing returns the record with the number of failed runs, and the newest of them: workers list an end
+// again to a successor, which must not count it twice.
+func (r Run) Failing(failures, newest int) Run {
+	r.failures, r.failed = failures, newest
+	return r
+}
+
+// At returns the record with the worker, and the life of it, at which the newest run is bound.
+func (r Run) At(worker string, life int64) Run {
+	r.worker, r.life = worker, life
+	return r
+}
+
+// Saved returns the record with the newest checkpoint.
+func (r Run) Saved(checkpoint string) Run {
+	r.checkpoint = checkpoint
+	return r
 }
 
 // Occurrence returns the occurrence of the job.
@@ -54,6 +71,9 @@
 // Failures returns how many runs have failed.
 func (r Run) Failures() int { return r.failures }
 
+// Failed returns the number of the newest run that has failed; 0 for none.
+func (r Run) Failed() int { return r.failed }
+
 // Worker returns the worker at which the run is bound.
 func (r Run) Worker() string { return r.worker }
 
@@ -67,7 +87,8 @@
 	Task   [3]int `json:"t"`
 	Phase  int    `json:"p"`
 	Number int    `json:"n"`
-	Failed int    `json:"f,omitempty"`
+	Fails  int    `json:"f,omitempty"`
+	Failed int    `json:"k,omitempty"`
 	Worker string `json:"w,omitempty"`
 	Life   int64  `json:"l,omitempty"`
 	Saved  string `json:"c,omitempty"`
@@ -78,7 +99,7 @@
 	out := make([]runRow, 0, len(runs))
 	for _, r := range runs {
 		out = append(out, runRow{
-			Task: [3]int{r.occurrence, r.step, r.index}, Phase: int(r.phase), Number: r.number, Failed: r.failures,
+			Task: [3]int{r.occurrence, r.step, r.index}, Phase: int(r.phase), Number: r.number, Fails: r.failures, Failed: r.failed,
 			Worker: r.worker, Life: r.life, Saved: r.checkpoint,
 		})
 	}
@@ -100,7 +121,8 @@
 		if v.Phase < int(Waiting) || v.Phase > int(Done) {
 			return nil, fmt.Errorf("progress of %s: unknown phase %d", r.key, v.Phase)
 		}
-		out = append(out, NewRun(v.Task[0], v.Task[1], v.Task[2], Phase(v.Phase), v.Number, v.Failed, v.Worker, v.Life, v.Saved))
+		run := NewRun(v.Task[0], v.Task[1], v.Task[2], Phase(v.Phase), v.Number)
+		out = append(out, run.Failing(v.Fails, v.Failed).At(v.Worker, v.Life).Saved(v.Saved))
 	}
 	return out, nil
 }
