anvilscheduler: test the scheduler on a world in memory, and mend two leases

Cause: the new tests show that a worker that had gone silent was sent further orders that extend its lease, so its tasks were lost for longer than the lease; and that the first lapse of a worker was reckoned from what a former holder might have promised even after the worker had accepted the new token. Change: a silent worker is only asked; acceptance of the token sets the bound anew. The failing test before: a silent worker's tasks wait until its lease has lapsed.

--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -82,8 +82,12 @@
 // promise notes that runs may be held until a time of the worker's clock.
 func (w *worker) promise(until, now anvilclock.Millis) {
 	w.extended = now
-	ahead := max(until-w.workerNow(now), 0)
-	w.lapse = max(w.lapse, now+ahead*(100+slowClock)/100+lapseMargin)
+	w.lapse = max(w.lapse, now+w.loop.lapseAfter(max(until-w.workerNow(now), 0)))
+}
+
+// lapseAfter returns how long a lease of d on a worker's clock may last here.
+func (l *Loop) lapseAfter(d anvilclock.Millis) anvilclock.Millis {
+	return d*(100+slowClock)/100 + lapseMargin
 }
 
 func (l *Loop) leaseFor() anvilclock.Millis { return min(leaseTime, l.bounds.maxLease-leaseSlack) }
@@ -91,6 +95,9 @@
 func (l *Loop) bindWorker() *anvilchart.Binding[*worker] {
 	return anvilchart.NewBinding(map[string]func(*worker){
 		"adopt": func(w *worker) {
+			// From now on only this holder extends leases, and a former one has promised no more than this
+			// one does.
+			w.lapse = l.clock.Now() + l.lapseAfter(l.leaseFor())
 			l.log.Record(anvilevent.WorkerAdopted, "worker", w.id(), "pool", w.listed.pool, "tasks", len(w.tasks))
 			l.wake()
 		},
@@ -152,7 +159,7 @@
 	now := l.clock.Now()
 	w := &worker{loop: l, listed: e, machine: l.charts.worker.NewMachine(), tasks: map[*task]bool{}}
 	// What a former holder has promised: it may have extended leases until its grace ended.
-	w.lapse = now + (holdGrace+l.bounds.maxLease)*(100+slowClock)/100 + lapseMargin
+	w.lapse = now + l.lapseAfter(holdGrace+l.leaseFor())
 	l.fleet.byID[e.id] = w
 	if e.pool != "" {
 		l.fleet.pools[e.pool] = append(l.fleet.pools[e.pool], w)
@@ -299,9 +306,10 @@
 			return
 		}
 	}
-	if len(w.tasks) > 0 && w.heard != 0 {
+	// A worker that does not answer may carry the order out late, and its lease is to lapse.
+	if len(w.tasks) > 0 && w.heard != 0 && w.machine.State() == workerReady && w.failures == 0 {
 		o.until = w.workerNow(now) + l.leaseFor()
-		if w.machine.State() == workerReady && w.noted <= w.seen {
+		if w.noted <= w.seen {
 			o.wait = holdWait
 		}
 	}
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -79,8 +79,10 @@
 
 	ctx context.Context
 	// spawn runs a call to the outside on a traffic goroutine.
-	spawn  func(func())
-	ending chan struct{}
+	spawn func(func())
+	// watching says that the tables are followed; a test tells the loop itself what has changed.
+	watching bool
+	ending   chan struct{}
 }
 
 // bounds holds what the platform promises of workers and asks of the scheduler.
--- a/entry/anvilscheduler/watch.go
+++ b/entry/anvilscheduler/watch.go
@@ -36,6 +36,7 @@
 
 // startWatches starts what every instance reads.
 func (l *Loop) startWatches() {
+	l.watching = true
 	go l.watchPolicy(l.ctx)
 	go l.watchTenure(l.ctx)
 	go l.watchTable(l.ctx, anvilstorage.States, 0, stateGap, func(page anvilstorage.Page, whole bool) {
@@ -185,6 +186,9 @@
 
 // watchAsHolder follows what only the holder needs, until the tenure ends.
 func (l *Loop) watchAsHolder(m loaded) {
+	if !l.watching {
+		return
+	}
 	ctx, token := l.tenureContext(), m.token
 	go l.watchTable(ctx, anvilstorage.Intake, m.intake.Version(), feedGap, func(page anvilstorage.Page, whole bool) {
 		l.post(intakeRead{token: token, page: page, whole: whole})
