anvillink: announce submissions and ends, and tell a cut from an outage

An instance that is cut off from the store held its callers until their deadline. Change: instances announce stored submissions to the holder and the holder announces ends; the feed stays the source of truth. An instance whose store is silent asks others: if one reaches the store it refuses at once, and if none does it waits for the store.

--- a/entry/anvilintake/intake.go
+++ b/entry/anvilintake/intake.go
@@ -29,6 +29,11 @@
 	Clock() anvilclock.Clock
 }
 
+// Herald announces rows that were stored to the instance that schedules. It does not wait.
+type Herald interface {
+	Tell(addr string, rows ...anvilstorage.Row)
+}
+
 // Meter counts and measures.
 type Meter interface {
 	Count(name string)
@@ -39,13 +44,14 @@
 type Intake struct {
 	store   Store
 	control Control
+	herald  Herald
 	log     *anvilevent.Log
 	meter   Meter
 }
 
 // New returns an intake.
-func New(store Store, control Control, log *anvilevent.Log, meter Meter) *Intake {
-	return &Intake{store: store, control: control, log: log, meter: meter}
+func New(store Store, control Control, herald Herald, log *anvilevent.Log, meter Meter) *Intake {
+	return &Intake{store: store, control: control, herald: herald, log: log, meter: meter}
 }
 
 // Timing.
@@ -213,6 +219,9 @@
 	if !validID(a.id) {
 		return Reply{result: Invalid, reason: "the id is not 16 hexadecimal digits"}, false
 	}
+	if a.view.Cut() {
+		return *refuse("this instance does not reach the store; another one may"), false
+	}
 	if _, ok := in.control.Directory().Find(a.id); ok && in.fresh(a.view) {
 		return Reply{result: Accepted}, false
 	}
@@ -227,6 +236,7 @@
 	receipt, err := in.store.Commit(try, tx)
 	if err == nil {
 		in.control.Directory().Put(state, receipt.Version())
+		in.tell(tx)
 		return Reply{result: Accepted}, false
 	}
 	e := anvilstorage.As(err)
@@ -245,6 +255,19 @@
 	return Reply{}, true
 }
 
+// tell announces the intake rows of a transaction to the instance that schedules.
+func (in *Intake) tell(tx *anvilstorage.Tx) {
+	addr := in.control.View().Holder()
+	if addr == "" {
+		return
+	}
+	for _, r := range tx.Sets() {
+		if r.Table() == anvilstorage.Intake {
+			in.herald.Tell(addr, r)
+		}
+	}
+}
+
 // submission returns the transaction that stores a job, if its id is new and the configuration has not
 // changed since it was read.
 func submission(sub *anviljob.Submission, state anvilstorage.JobState, policy int64) (*anvilstorage.Tx, error) {
@@ -300,7 +323,7 @@
 	if not != nil {
 		return a, anvilstorage.JobState{}, not
 	}
-	if !in.fresh(a.view) {
+	if !in.fresh(a.view) || a.view.Cut() {
 		return a, anvilstorage.JobState{}, refuse("the configuration can't be confirmed")
 	}
 	if !validID(a.id) {
@@ -384,6 +407,7 @@
 	defer cancel()
 	_, err := in.store.Commit(try, tx)
 	if err == nil {
+		in.tell(tx)
 		return Reply{result: Accepted}, false
 	}
 	if p := anvilstorage.As(err).Policy(); p != nil {
--- /dev/null
+++ b/entry/anvillink/client.go
@@ -0,0 +1,138 @@
+package anvillink
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"anvilhold.org/entry/anvilscheduler"
+	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anvilclock"
+)
+
+const (
+	// dialTimeout bounds connecting: a machine without power doesn't answer.
+	dialTimeout = 600 * time.Millisecond
+	// redialMost is the longest pause between two tries to connect.
+	redialMost = time.Second
+	// tellTimeout bounds an announcement; the store's feed has the same news soon after.
+	tellTimeout = 500 * time.Millisecond
+	// tellsMost bounds the announcements on their way.
+	tellsMost = 64
+)
+
+// Links reaches other instances, and the advisor directly when the address is empty.
+type Links struct {
+	local Advisor
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+	tells chan struct{}
+}
+
+// NewLinks returns links without connections.
+func NewLinks(local Advisor) *Links {
+	return &Links{local: local, conns: map[string]*grpc.ClientConn{}, tells: make(chan struct{}, tellsMost)}
+}
+
+// Ask has the instance at addr ask the advisor.
+func (a *Links) Ask(ctx context.Context, addr, step string, workers []string) (anvilscheduler.Advice, error) {
+	if addr == "" {
+		return a.local.Ask(ctx, step, workers)
+	}
+	conn, err := a.connection(addr)
+	if err != nil {
+		return anvilscheduler.Advice{}, err
+	}
+	q := &Question{}
+	q.SetStep(step)
+	q.SetWorkers(workers)
+	out, err := NewLinkClient(conn).Ask(ctx, q)
+	if err != nil {
+		return anvilscheduler.Advice{}, err
+	}
+	tickets := make([]anvilscheduler.Ticket, 0, len(out.GetTickets()))
+	for _, t := range out.GetTickets() {
+		tickets = append(tickets, anvilscheduler.NewTicket(t.GetWorker(), t.GetText()))
+	}
+	return anvilscheduler.NewAdvice(tickets, anvilclock.Millis(out.GetValidity())), nil
+}
+
+// Tell announces rows that were just stored to the instance at addr. It does not wait; what can't be told
+// is found in the store's feed.
+func (a *Links) Tell(addr string, rows ...anvilstorage.Row) {
+	select {
+	case a.tells <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-a.tells }()
+		conn, err := a.connection(addr)
+		if err != nil {
+			return
+		}
+		out := make([]*Row, 0, len(rows))
+		for _, r := range rows {
+			m := &Row{}
+			m.SetTable(string(r.Table()))
+			m.SetKey(r.Key())
+			m.SetValue(r.Value())
+			m.SetVersion(r.Version())
+			out = append(out, m)
+		}
+		news := &News{}
+		news.SetRows(out)
+		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+		defer cancel()
+		// A failure is of no consequence: the feed brings the rows.
+		_, _ = NewLinkClient(conn).Tell(ctx, news)
+	}()
+}
+
+// Reach asks the instance at addr how long ago the store has last answered it.
+func (a *Links) Reach(ctx context.Context, addr string) (anvilclock.Millis, error) {
+	conn, err := a.connection(addr)
+	if err != nil {
+		return 0, err
+	}
+	out, err := NewLinkClient(conn).Reach(ctx, &Doubt{})
+	if err != nil {
+		return 0, err
+	}
+	return anvilclock.Millis(out.GetAge()), nil
+}
+
+func (a *Links) connection(addr string) (*grpc.ClientConn, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c := a.conns[addr]; c != nil {
+		return c, nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, MaxDelay: redialMost},
+			MinConnectTimeout: dialTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+	)
+	if err != nil {
+		return nil, err
+	}
+	a.conns[addr] = c
+	return c, nil
+}
+
+// Close closes all connections.
+func (a *Links) Close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, c := range a.conns {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/entry/anvillink/server.go
@@ -0,0 +1,97 @@
+// Package anvillink connects the instance that schedules with the others over gRPC.
+package anvillink
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"anvilhold.org/entry/anvilscheduler"
+	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anvilclock"
+)
+
+// Advisor asks the advisor directly.
+type Advisor interface {
+	Ask(ctx context.Context, step string, workers []string) (anvilscheduler.Advice, error)
+}
+
+const (
+	// keepaliveTime and keepaliveTimeout find connections that have gone silent without a reset.
+	keepaliveTime    = 10 * time.Second
+	keepaliveTimeout = 2 * time.Second
+)
+
+// Listener takes rows that other instances have stored.
+type Listener interface {
+	Announce(rows []anvilstorage.Row)
+	ContactAge() anvilclock.Millis
+}
+
+// Server answers other instances.
+type Server struct {
+	grpc *grpc.Server
+}
+
+type handler struct {
+	UnimplementedLinkServer
+	advisor  Advisor
+	listener Listener
+}
+
+// NewServer returns a server that has not started.
+func NewServer(a Advisor, l Listener) *Server {
+	s := grpc.NewServer(
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+	)
+	RegisterLinkServer(s, &handler{advisor: a, listener: l})
+	return &Server{grpc: s}
+}
+
+// Serve answers on l until Stop.
+func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(l) }
+
+// Stop breaks off the questions in flight; whoever asked asks another instance.
+func (s *Server) Stop() { s.grpc.Stop() }
+
+// Ask passes a question on to the advisor.
+func (h *handler) Ask(ctx context.Context, q *Question) (*Answer, error) {
+	advice, err := h.advisor.Ask(ctx, q.GetStep(), q.GetWorkers())
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	out := &Answer{}
+	out.SetValidity(int64(advice.Validity()))
+	tickets := make([]*Ticket, 0, len(advice.Tickets()))
+	for _, t := range advice.Tickets() {
+		k := &Ticket{}
+		k.SetWorker(t.Worker())
+		k.SetText(t.Text())
+		tickets = append(tickets, k)
+	}
+	out.SetTickets(tickets)
+	return out, nil
+}
+
+// Tell hands on rows that another instance has stored.
+func (h *handler) Tell(_ context.Context, n *News) (*Heard, error) {
+	rows := make([]anvilstorage.Row, 0, len(n.GetRows()))
+	for _, r := range n.GetRows() {
+		rows = append(rows, anvilstorage.ReadRow(anvilstorage.Table(r.GetTable()), r.GetKey(), r.GetValue(), r.GetVersion(), false))
+	}
+	h.listener.Announce(rows)
+	return &Heard{}, nil
+}
+
+// Reach tells how lately this instance has heard from the store.
+func (h *handler) Reach(context.Context, *Doubt) (*Contact, error) {
+	out := &Contact{}
+	out.SetAge(int64(h.listener.ContactAge()))
+	return out, nil
+}
--- a/entry/anvilscheduler/effects.go
+++ b/entry/anvilscheduler/effects.go
@@ -15,6 +15,8 @@
 	Commit(ctx context.Context, tx *anvilstorage.Tx) (anvilstorage.Receipt, error)
 	Scan(ctx context.Context, table anvilstorage.Table) (anvilstorage.Page, error)
 	Changes(ctx context.Context, table anvilstorage.Table, after int64, wait anvilclock.Millis) (anvilstorage.Page, error)
+	// Heard returns the local time at which the store has last carried out a call.
+	Heard() anvilclock.Millis
 }
 
 // Roster reads what the platform publishes: the configuration and the list of workers. An after of 0
@@ -37,6 +39,17 @@
 	Ask(ctx context.Context, addr, step string, workers []string) (Advice, error)
 }
 
+// Herald announces rows that were stored to other instances. It does not wait, and may fail: the store's
+// feed brings the rows later.
+type Herald interface {
+	Tell(addr string, rows ...anvilstorage.Row)
+}
+
+type silentHerald struct{}
+
+// Tell announces nothing.
+func (silentHerald) Tell(string, ...anvilstorage.Row) {}
+
 // Listed is an entry of the platform's list of workers.
 type Listed struct {
 	id        string
--- a/entry/anvilscheduler/journal.go
+++ b/entry/anvilscheduler/journal.go
@@ -57,6 +57,7 @@
 type stateWrite struct {
 	j     *job
 	state anvilstorage.JobState
+	row   anvilstorage.Row
 }
 
 func newJournal() journal { return journal{} }
@@ -135,7 +136,7 @@
 			return err
 		}
 		b.tx.Set(row)
-		b.states = append(b.states, stateWrite{j: j, state: s})
+		b.states = append(b.states, stateWrite{j: j, state: s, row: row})
 	}
 	if state.Ended() && j.bound == 0 {
 		b.tx.Drop(anvilstorage.Intake, j.id())
@@ -220,10 +221,15 @@
 
 // settleBatch does what had to wait for a commit.
 func (l *Loop) settleBatch(b *batch, row int64) {
+	var ends []anvilstorage.Row
 	for _, s := range b.states {
 		s.j.stored = s.state.State()
 		l.directory.Put(s.state, row)
+		if s.state.State().Ended() {
+			ends = append(ends, anvilstorage.ReadRow(anvilstorage.States, s.row.Key(), s.row.Value(), row, false))
+		}
 	}
+	l.announceEnds(ends)
 	for _, j := range b.jobs {
 		if j.closed && !j.marked {
 			l.forget(j)
@@ -233,6 +239,18 @@
 	l.releaseAcks()
 }
 
+// announceEnds tells the other instances which jobs have ended, so that callers learn it at once.
+func (l *Loop) announceEnds(rows []anvilstorage.Row) {
+	if len(rows) == 0 {
+		return
+	}
+	for _, k := range l.asking.askers {
+		if !k.self && l.clock.Now() >= k.rest {
+			l.herald.Tell(k.instance.Addr(), rows...)
+		}
+	}
+}
+
 // releaseAcks lets workers forget the ends that are stored.
 func (l *Loop) releaseAcks() {
 	g := &l.journal
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -32,8 +32,16 @@
 	confirmed anvilclock.Millis
 	synced    bool
 	leaving   bool
+	holder    string
+	cut       bool
 }
 
+// Cut reports whether this instance is cut off from the store while others may reach it.
+func (v *View) Cut() bool { return v.cut }
+
+// Holder returns the address of the instance that schedules; empty when it is not known.
+func (v *View) Holder() string { return v.holder }
+
 // Policy returns the configuration in force; nil before one was read.
 func (v *View) Policy() *anvilpolicy.Policy { return v.policy }
 
@@ -57,6 +65,8 @@
 	roster   Roster
 	workers  Workers
 	advisors Advisors
+	herald   Herald
+	peers    Peers
 	clock    anvilclock.Clock
 	log      *anvilevent.Log
 	check    *anvilinvariant.Checker
@@ -98,6 +108,7 @@
 	confirmed anvilclock.Millis
 	synced    bool
 	leaving   bool
+	cut       bool
 }
 
 // Option sets an optional part of a Loop.
@@ -112,6 +123,12 @@
 // WithChecker sets what happens when an invariant does not hold.
 func WithChecker(c *anvilinvariant.Checker) Option { return func(l *Loop) { l.check = c } }
 
+// WithHerald sets what announces the ends of jobs to other instances.
+func WithHerald(h Herald) Option { return func(l *Loop) { l.herald = h } }
+
+// WithPeers sets how other instances are asked whether they reach the store.
+func WithPeers(p Peers) Option { return func(l *Loop) { l.peers = p } }
+
 // WithMeter sets where figures go.
 func WithMeter(m Meter) Option { return func(l *Loop) { l.meter = m } }
 
@@ -133,7 +150,7 @@
 func New(self anvilstorage.Instance, s Store, r Roster, w Workers, a Advisors, opts ...Option) (*Loop, error) {
 	l := &Loop{
 		self: self, store: s, roster: r, workers: w, advisors: a, clock: anvilclock.NewBoot(),
-		log: &anvilevent.Log{}, check: anvilinvariant.New(), meter: unmeasured{},
+		log: &anvilevent.Log{}, check: anvilinvariant.New(), meter: unmeasured{}, herald: silentHerald{},
 		inbox: make(chan message, inboxSize), directory: NewDirectory(), ctx: context.Background(),
 		spawn:  func(f func()) { go f() },
 		bounds: bounds{maxLease: defaultMaxLease, stopGrace: defaultStopGrace},
@@ -172,6 +189,36 @@
 	l.post(policyRead{page: page, since: l.clock.Now()})
 }
 
+// Announce takes rows that another instance has just stored, ahead of the store's feed: submissions and
+// cancellations at the instance that schedules, ends of jobs at the others.
+func (l *Loop) Announce(rows []anvilstorage.Row) { l.post(announced{rows: rows}) }
+
+func (m announced) deliver(l *Loop) {
+	var intake []anvilstorage.Row
+	for _, r := range m.rows {
+		switch r.Table() {
+		case anvilstorage.Intake:
+			intake = append(intake, r)
+		case anvilstorage.States:
+			l.learnState(r)
+		default:
+		}
+	}
+	if l.holding() {
+		l.takeIntake(anvilstorage.NewPage(intake, 0, 0))
+	}
+}
+
+// learnState takes the row of a job's state.
+func (l *Loop) learnState(r anvilstorage.Row) {
+	s, err := anvilstorage.ParseState(r)
+	if err != nil {
+		l.log.Fault(anvilevent.RowUnreadable, err, "table", string(anvilstorage.States), "key", r.Key())
+		return
+	}
+	l.directory.Put(s, r.Version())
+}
+
 // Shutdown asks the loop to give up the tenure for good and returns a channel that is closed when it has.
 func (l *Loop) Shutdown() <-chan struct{} {
 	done := make(chan struct{})
@@ -253,7 +300,7 @@
 func (l *Loop) publish() {
 	l.view.Store(&View{
 		policy: l.config.policy, row: l.config.row, confirmed: l.config.confirmed, synced: l.config.synced,
-		leaving: l.config.leaving,
+		leaving: l.config.leaving, holder: l.tenure.current.Addr(), cut: l.config.cut,
 	})
 }
 
@@ -277,13 +324,8 @@
 			l.directory.Remove(r.Key())
 			continue
 		}
-		s, err := anvilstorage.ParseState(r)
-		if err != nil {
-			l.log.Fault(anvilevent.RowUnreadable, err, "table", string(anvilstorage.States), "key", r.Key())
-			continue
-		}
 		ids[r.Key()] = true
-		l.directory.Put(s, r.Version())
+		l.learnState(r)
 	}
 	if m.whole {
 		l.directory.Keep(ids, m.page.Version())
--- a/entry/anvilscheduler/messages.go
+++ b/entry/anvilscheduler/messages.go
@@ -52,6 +52,9 @@
 	whole bool
 }
 
+// announced holds rows of the intake table ahead of the feed.
+type announced struct{ rows []anvilstorage.Row }
+
 // instancesRead is news of the instances table.
 type instancesRead struct {
 	token int64
--- a/entry/anvilscheduler/tenure.go
+++ b/entry/anvilscheduler/tenure.go
@@ -78,7 +78,11 @@
 	}
 	fresh := m.row.Version() != t.row || t.looked == 0 || m.since-t.looked > watchGap
 	if fresh {
+		changed := t.current.Addr() != current.Addr()
 		t.row, t.current, t.since = m.row.Version(), current, m.since
+		if changed {
+			l.publish()
+		}
 	}
 	t.looked = m.since
 	if l.config.policy == nil || !l.config.synced {
@@ -173,6 +177,7 @@
 	now := l.clock.Now()
 	l.tenure.began = now
 	l.scheduling.Store(true)
+	l.publish()
 	l.work.dirty = true
 	l.journal.count = l.tenure.current.Count()
 	for _, w := range l.fleet.byID {
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -37,9 +37,9 @@
 	readTimeout = anvilclock.Millis(3000)
 	// feedGap is the least time between two readings of the changes of jobs and workers by the holder.
 	feedGap = anvilclock.Millis(15)
-	// stateGap is the same for the states of jobs at every instance: a state is shown that much later, and
-	// readings are priced.
-	stateGap = anvilclock.Millis(80)
+	// stateGap is the same for the states of jobs at every instance. Ends are announced by the holder, the
+	// rest may be this much older; readings are priced.
+	stateGap = anvilclock.Millis(400)
 	// feedWait is how long the store may wait for a change before it answers.
 	feedWait = anvilclock.Millis(2000)
 	// policyWait is the same for the configuration; every answer confirms the version in force.
--- a/entry/anvilscheduler/watch.go
+++ b/entry/anvilscheduler/watch.go
@@ -43,6 +43,9 @@
 		l.post(statesRead{page: page, whole: whole})
 	})
 	go l.register(l.ctx)
+	if l.peers != nil {
+		go l.watchContact(l.ctx)
+	}
 }
 
 // outage logs the beginning and the end of a time in which something can't be read.
--- a/entry/anvilscheduler/work.go
+++ b/entry/anvilscheduler/work.go
@@ -314,6 +314,10 @@
 		if l.work.jobs[r.Key()] != nil {
 			continue
 		}
+		if s, ok := l.directory.Find(r.Key()); ok && s.State().Ended() {
+			// The row is older than the job's end: the feed may lag behind announcements.
+			continue
+		}
 		sub, err := anvilstorage.ParseSubmission(r)
 		if err != nil {
 			l.log.Fault(anvilevent.RowUnreadable, err, "table", string(anvilstorage.Intake), "key", r.Key())
@@ -333,7 +337,9 @@
 func (l *Loop) cancel(id string) {
 	j := l.work.jobs[id]
 	if j == nil {
-		l.work.cancels[id] = true
+		if s, ok := l.directory.Find(id); !ok || !s.State().Ended() {
+			l.work.cancels[id] = true
+		}
 		return
 	}
 	if j.cancelled {
@@ -516,8 +522,9 @@
 	tx := &anvilstorage.Tx{}
 	tx.Expect(anvilstorage.Tenures, anvilstorage.TenureKey, l.tenure.row)
 	for _, s := range l.directory.Ended() {
-		if l.storeNow(now)-s.Ended() > keepEnded && l.work.jobs[s.ID()] == nil && tx.Len() < anvilstorage.MaxEntries {
+		if l.storeNow(now)-s.Ended() > keepEnded && l.work.jobs[s.ID()] == nil && tx.Len()+1 < anvilstorage.MaxEntries {
 			tx.Drop(anvilstorage.States, s.ID())
+			tx.Drop(anvilstorage.Intake, anvilstorage.CancelKey(s.ID()))
 		}
 	}
 	if len(tx.Drops()) == 0 || l.journal.inflight != nil {
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -127,6 +127,7 @@
 	DependencyLost ID = 6504
 	DependencyBack ID = 6505
 	LinesDropped   ID = 6506
+	ContactChanged ID = 6507
 	ProcessStarted ID = 6601
 	ProcessLeaving ID = 6602
 	ProcessStopped ID = 6603
@@ -232,6 +233,7 @@
 	{DependencyLost, "dependency lost", "Something that the instance depends on doesn't answer."},
 	{DependencyBack, "dependency back", "It answers again."},
 	{LinesDropped, "lines dropped", "Log lines were dropped because the output could not keep up."},
+	{ContactChanged, "contact changed", "The instance is cut off from the store while others reach it, or no longer is."},
 	{ProcessStarted, "process started", "The process takes calls."},
 	{ProcessLeaving, "process leaving", "The process was told to stop."},
 	{ProcessStopped, "process stopped", "The process ends."},
