anvilscheduler: ask again where an approved worker has room

Now a step that knows its approved workers looks at these. A whole reading of the intake that was older than a job's end brought the job back.

--- a/entry/anvilscheduler/ask.go
+++ b/entry/anvilscheduler/ask.go
@@ -87,8 +87,8 @@
 }
 
 // askForTickets asks about a stage that lacks tickets, if an instance can ask now.
-func (l *Loop) askForTickets(c candidate, now anvilclock.Millis) {
-	tk := &c.s.tickets
+func (l *Loop) askForTickets(p *placing, c candidate) {
+	tk, now := &c.s.tickets, p.now
 	if tk.asking || now < tk.again {
 		return
 	}
@@ -96,15 +96,16 @@
 	if k == nil {
 		return
 	}
-	if names := l.toAsk(c, now); len(names) > 0 {
+	if names := l.toAsk(p, c); len(names) > 0 {
 		l.ask(c, names, k, now)
 	}
 }
 
 // toAsk returns the workers about which a stage must ask: those that it has not asked about yet, and those
-// of the approved ones that have room and whose tickets are about to lapse.
-func (l *Loop) toAsk(c candidate, now anvilclock.Millis) []string {
-	s := c.s
+// of the approved ones that have room, or will have it when the answer comes, and whose tickets lapse.
+func (l *Loop) toAsk(p *placing, c candidate) []string {
+	s, now := c.s, p.now
+	cost := c.queue.Advice().Cost(len(s.tasks)) + askTravel
 	var out []string
 	for _, w := range l.fleet.pools[c.queue.Pool()] {
 		if len(out) == askWorkers {
@@ -113,15 +114,14 @@
 		if w.listed.draining || w.machine.State() != workerReady || !w.labelled(s.step.Label()) || !s.step.Room().Fits(w.listed.capacity) {
 			continue
 		}
-		if !s.tickets.judged(w.id()) {
+		switch {
+		case !s.tickets.judged(w.id()):
 			out = append(out, w.id())
-			continue
-		}
-		cost := c.queue.Advice().Cost(len(s.tasks))
-		if !s.tickets.approved(w.id()) || s.tickets.valid(w.id(), now+ticketMargin+cost) {
-			continue
-		}
-		if s.step.Room().Fits(w.free()) || l.freesWithin(w, s, now, cost) {
+		case !s.tickets.approved(w.id()) || s.tickets.valid(w.id(), now+cost):
+		case s.step.Room().Fits(w.free()):
+			out = append(out, w.id())
+		case !p.promised[w] && p.freesWithin(w, s, cost):
+			p.promised[w] = true
 			out = append(out, w.id())
 		}
 	}
@@ -129,10 +129,9 @@
 }
 
 // freesWithin reports whether a worker will probably have room for a task of a stage soon.
-func (l *Loop) freesWithin(w *worker, s *stage, now, soon anvilclock.Millis) bool {
-	p := &placing{loop: l, now: now}
+func (p *placing) freesWithin(w *worker, s *stage, soon anvilclock.Millis) bool {
 	slots := p.frees(w, s)
-	return len(slots) > 0 && slots[0] <= now+soon
+	return len(slots) > 0 && slots[0] <= p.now+soon
 }
 
 func (l *Loop) ask(c candidate, names []string, k *asker, now anvilclock.Millis) {
--- a/entry/anvilscheduler/fault_test.go
+++ b/entry/anvilscheduler/fault_test.go
@@ -126,6 +126,20 @@
 		assertEqual(t, "holds", r.loop.holding(), false)
 		assertRunning(t, w)
 	})
+	t.Run("a reading older than a job's end does not bring it back", func(t *testing.T) {
+		// Guards against a job that runs again because a whole reading of the intake was slow.
+		w, r := started(t, "w1")
+		w.submit("j1", plainQueue, teamName, anviljob.NewStep(1, core(1)))
+		old := mustScan(t, w, anvilstorage.Intake)
+		w.pass(settleTime, r)
+		w.end("j1.0.0.0", CauseDone, "")
+		w.pass(settleTime, r)
+		assertState(t, w, "j1", anviljob.Completed)
+		r.loop.post(intakeRead{token: r.loop.tenure.token, page: old, whole: true})
+		r.loop.Announce(old.Rows())
+		w.pass(settleTime, r)
+		assertRunning(t, w)
+	})
 	t.Run("an unreadable row harms nothing", func(t *testing.T) {
 		// Guards against a row of another writer that stops the schedule.
 		w, r := started(t, "w1")
@@ -273,6 +287,29 @@
 		w.pass(settleTime, r)
 		assertEqual(t, "questions", len(w.questions), 0)
 	})
+	t.Run("a step with approved workers asks again when there is room", func(t *testing.T) {
+		// Guards against a step that stands still because steps that can't start seem to need all room.
+		w, r := started(t, "w1", "w2")
+		w.advice = func(id string) bool { return id == "w1" }
+		w.submit("j1", askingQueue, "", anviljob.NewStep(1, core(4), anviljob.WithEstimate(500)))
+		w.pass(settleTime, r)
+		w.submit("j2", askingQueue, "", anviljob.NewStep(9, core(4), anviljob.WithEstimate(500)))
+		w.submit("j3", askingQueue, "", anviljob.NewStep(1, core(1), anviljob.WithEstimate(60_000)))
+		w.pass(settleTime, r)
+		w.advice = func(string) bool { return true }
+		w.pass(3000, r)
+		w.end("j1.0.0.0", CauseDone, "")
+		for range 9 {
+			w.pass(settleTime, r)
+			for _, task := range w.running() {
+				if task[:2] == "j2" {
+					w.end(task, CauseDone, "")
+				}
+			}
+		}
+		w.pass(settleTime, r)
+		assertRunning(t, w, "j3.0.0.0")
+	})
 	t.Run("a lapsed ticket is not used", func(t *testing.T) {
 		// Guards against starts that are refused because their commit took longer than the ticket.
 		w, r := started(t, "w1")
--- a/entry/anvilscheduler/outlook.go
+++ b/entry/anvilscheduler/outlook.go
@@ -47,8 +47,12 @@
 	return ok
 }
 
-// expects reports whether a stage with waiting tasks will probably have room when its tickets come.
+// expects reports whether a stage with waiting tasks will probably have room when its tickets come. One
+// that knows its approved workers looks at these when it asks.
 func (p *placing) expects(c candidate) bool {
+	if len(c.s.tickets.byID) > 0 {
+		return true
+	}
 	pool := c.queue.Pool()
 	o := p.outlooks[pool]
 	if o == nil {
--- a/entry/anvilscheduler/pass.go
+++ b/entry/anvilscheduler/pass.go
@@ -40,11 +40,11 @@
 		return
 	}
 	list := l.candidates(now)
-	p := &placing{loop: l, now: now, shadow: map[*worker]anvilsize.Size{}, outlooks: map[string]*outlook{}}
+	p := &placing{loop: l, now: now, shadow: map[*worker]anvilsize.Size{}, outlooks: map[string]*outlook{}, promised: map[*worker]bool{}}
 	for _, c := range list {
-		l.placeStage(p, c)
-		if c.s.open > 0 && c.queue.Advice().Needed() && l.withinLimit(c.s, 1) && p.expects(c) {
-			l.askForTickets(c, now)
+		kept := l.placeStage(p, c)
+		if c.s.open > 0 && c.queue.Advice().Needed() && l.withinLimit(c.s, 1) && (kept || p.expects(c)) {
+			l.askForTickets(p, c)
 		}
 	}
 	l.summarize(p, len(list))
@@ -125,6 +125,8 @@
 	reserved int
 	short    shortage
 	outlooks map[string]*outlook
+	// promised holds the workers whose next free room a stage is asking for.
+	promised map[*worker]bool
 }
 
 // shortage counts the stages that could not start all their tasks, by what they lack.
@@ -137,10 +139,11 @@
 
 func (p *placing) free(w *worker) anvilsize.Size { return w.free().Sub(p.shadow[w]) }
 
-func (l *Loop) placeStage(p *placing, c candidate) {
+// placeStage binds the tasks of a stage that fit, and reports whether it keeps room for others that only
+// lack tickets.
+func (l *Loop) placeStage(p *placing, c candidate) bool {
 	if c.s.step.Gang() {
-		l.placeGang(p, c)
-		return
+		return l.placeGang(p, c)
 	}
 	for _, t := range c.s.tasks {
 		if t.machine.State() != taskWaiting {
@@ -148,15 +151,17 @@
 		}
 		if !l.withinLimit(c.s, 1) {
 			p.short.limit++
-			return
+			return false
 		}
 		w := p.choose(c, t, true)
 		if w == nil {
-			p.lack(c, p.keepRoom(c))
-			return
+			kept := p.keepRoom(c)
+			p.lack(c, kept)
+			return kept
 		}
 		l.place(t, w)
 	}
+	return false
 }
 
 // lack counts what a stage lacks; room says that there is some at approved workers.
@@ -284,15 +289,16 @@
 	return label == "" || slices.Contains(w.listed.labels, label)
 }
 
-// placeGang binds all tasks of a gang or none.
-func (l *Loop) placeGang(p *placing, c candidate) {
+// placeGang binds all tasks of a gang or none, and reports whether it keeps room for a gang that only
+// lacks tickets.
+func (l *Loop) placeGang(p *placing, c candidate) bool {
 	s := c.s
 	if s.open < len(s.tasks) {
-		return
+		return false
 	}
 	if !l.withinLimit(s, int64(len(s.tasks))) {
 		p.short.limit++
-		return
+		return false
 	}
 	if plan := p.plan(c, true); plan != nil {
 		run := 0
@@ -303,16 +309,18 @@
 			t.run = run
 			l.place(t, plan[i])
 		}
-		return
+		return false
 	}
 	plan := p.plan(c, false)
-	p.lack(c, plan != nil)
-	if plan == nil && p.reserved < reservations && c.urgency.band != bandHopeless {
+	kept := plan != nil
+	p.lack(c, kept)
+	if !kept && p.reserved < reservations && c.urgency.band != bandHopeless {
 		plan = p.reserve(c)
 	}
 	for _, w := range plan {
 		p.shadow[w] = p.shadow[w].Add(s.step.Room())
 	}
+	return kept
 }
 
 // plan returns a worker for each task of a gang, preferably on one rack; nil when they don't fit.
