--- a/entry/anvilscheduler/fault_test.go
+++ b/entry/anvilscheduler/fault_test.go
@@ -297,7 +297,7 @@
 		w.submit("j3", askingQueue, "", anviljob.NewStep(1, core(1), anviljob.WithEstimate(60_000)))
 		w.pass(settleTime, r)
 		w.advice = func(string) bool { return true }
-		w.pass(3000, r)
+		w.pass(1000, r)
 		w.end("j1.0.0.0", CauseDone, "")
 		for range 9 {
 			w.pass(settleTime, r)
