--- a/entry/anvilscheduler/ask.go
+++ b/entry/anvilscheduler/ask.go
@@ -118,7 +118,7 @@
 		case !s.tickets.judged(w.id()):
 			out = append(out, w.id())
 		case !s.tickets.approved(w.id()) || s.tickets.valid(w.id(), now+cost):
-		case s.step.Room().Fits(w.free()):
+		case p.kept[w] == s, s.step.Room().Fits(p.free(w)):
 			out = append(out, w.id())
 		case !p.promised[w] && p.freesWithin(w, s, cost):
 			p.promised[w] = true
--- a/entry/anvilscheduler/effects.go
+++ b/entry/anvilscheduler/effects.go
@@ -320,3 +320,9 @@
 	}
 	return fmt.Sprintf("order not confirmed: %s: %v", e.fault, e.cause)
 }
+
+// Entries returns the entries.
+func (p WorkerPage) Entries() []Listed { return p.entries }
+
+// ID returns the worker's id.
+func (l Listed) ID() string { return l.id }
--- a/entry/anvilscheduler/pass.go
+++ b/entry/anvilscheduler/pass.go
@@ -40,7 +40,7 @@
 		return
 	}
 	list := l.candidates(now)
-	p := &placing{loop: l, now: now, shadow: map[*worker]anvilsize.Size{}, outlooks: map[string]*outlook{}, promised: map[*worker]bool{}}
+	p := &placing{loop: l, now: now, shadow: map[*worker]anvilsize.Size{}, outlooks: map[string]*outlook{}, promised: map[*worker]bool{}, kept: map[*worker]*stage{}}
 	for _, c := range list {
 		kept := l.placeStage(p, c)
 		if c.s.open > 0 && c.queue.Advice().Needed() && l.withinLimit(c.s, 1) && (kept || p.expects(c)) {
@@ -125,6 +125,8 @@
 	reserved int
 	short    shortage
 	outlooks map[string]*outlook
+	// kept tells for which stage room was last kept at a worker.
+	kept map[*worker]*stage
 	// promised holds the workers whose next free room a stage is asking for.
 	promised map[*worker]bool
 }
@@ -191,11 +193,17 @@
 			break
 		}
 		kept = true
-		p.shadow[w] = p.shadow[w].Add(c.s.step.Room())
+		p.keep(c, w)
 	}
 	return kept
 }
 
+// keep reserves room at a worker for a stage.
+func (p *placing) keep(c candidate, w *worker) {
+	p.shadow[w] = p.shadow[w].Add(c.s.step.Room())
+	p.kept[w] = c.s
+}
+
 func (l *Loop) place(t *task, w *worker) {
 	t.worker = w
 	t.ticket = t.stage.tickets.byID[w.id()]
@@ -318,7 +326,7 @@
 		plan = p.reserve(c)
 	}
 	for _, w := range plan {
-		p.shadow[w] = p.shadow[w].Add(s.step.Room())
+		p.keep(c, w)
 	}
 	return kept
 }
