--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := lib entry ctl standin load
+MODULES := lib entry ctl standin load platform
 BIN     := bin
 SEED    ?= 1
 
@@ -10,6 +10,7 @@
 	go build -o $(BIN)/anvilctl ./ctl
 	go build -o $(BIN)/anvilplatform ./standin
 	go build -o $(BIN)/anvilload ./load
+	go build -o $(BIN)/anvilnode ./platform
 
 test: all
 	go test $(addprefix ./,$(addsuffix /...,$(MODULES)))
--- a/entry/anvilintake/intake.go
+++ b/entry/anvilintake/intake.go
@@ -102,6 +102,9 @@
 	retry   anvilclock.Millis
 }
 
+// NewReply returns a reply with a line for people.
+func NewReply(result Result, reason string) Reply { return Reply{result: result, reason: reason} }
+
 // Result returns what became of the call.
 func (r Reply) Result() Result { return r.result }
 
--- a/entry/anvilscheduler/bench_test.go
+++ b/entry/anvilscheduler/bench_test.go
@@ -11,7 +11,7 @@
 func BenchmarkPass(b *testing.B) {
 	w := newWorld(b, testPolicy())
 	for i := range 35 {
-		w.addWorker(fmt.Sprintf("w%02d", i), poolName, core(32))
+		w.addWorker(fmt.Sprintf("w%02d", i), core(32))
 	}
 	r := w.newRig("e1")
 	w.pass(settleTime, r)
--- a/entry/anvilscheduler/effects.go
+++ b/entry/anvilscheduler/effects.go
@@ -326,3 +326,18 @@
 
 // ID returns the worker's id.
 func (l Listed) ID() string { return l.id }
+
+// NewTarget returns a target.
+func NewTarget(id, addr string) Target { return Target{id: id, addr: addr} }
+
+// Life returns the start of the worker's process.
+func (r Report) Life() int64 { return r.life }
+
+// Clock returns the worker's clock.
+func (r Report) Clock() anvilclock.Millis { return r.clock }
+
+// Active returns the runs that go on.
+func (r Report) Active() []Active { return r.active }
+
+// Endings returns the ends that the worker still lists.
+func (r Report) Endings() []Ending { return r.endings }
--- a/entry/anvilscheduler/fault_test.go
+++ b/entry/anvilscheduler/fault_test.go
@@ -26,7 +26,7 @@
 		w.end("j1.0.0.0", CauseDone, "")
 		w.end("j1.0.0.1", CauseDone, "")
 		w.pass(settleTime, next)
-		assertState(t, w, "j1", anviljob.Completed)
+		assertState(t, w, anviljob.Completed)
 	})
 	t.Run("a holder that was frozen gives way", func(t *testing.T) {
 		// Guards against two holders that start the same work.
@@ -62,13 +62,13 @@
 		w.workers["w1"].ends = kept
 		next := w.newRig("e2")
 		w.pass(takeoverTime, next)
-		assertState(t, w, "j1", anviljob.Running)
+		assertState(t, w, anviljob.Running)
 		assertRunning(t, w, "j1.0.0.0")
 	})
 	t.Run("nobody schedules before the configuration is known", func(t *testing.T) {
 		// Guards against jobs that are failed because their queue's attempts are not known yet.
 		w := newWorld(t, nil)
-		w.addWorker("w1", poolName, core(4))
+		w.addWorker("w1", core(4))
 		r := w.newRig("e1")
 		w.pass(settleTime, r)
 		assertEqual(t, "holds", r.loop.holding(), false)
@@ -99,7 +99,7 @@
 		w.pass(settleTime, r)
 		next := w.newRig("e2")
 		w.pass(takeoverTime, next)
-		assertState(t, w, "j1", anviljob.Failed)
+		assertState(t, w, anviljob.Failed)
 		assertRunning(t, w)
 	})
 }
@@ -134,7 +134,7 @@
 		w.pass(settleTime, r)
 		w.end("j1.0.0.0", CauseDone, "")
 		w.pass(settleTime, r)
-		assertState(t, w, "j1", anviljob.Completed)
+		assertState(t, w, anviljob.Completed)
 		r.loop.post(intakeRead{token: r.loop.tenure.token, page: old, whole: true})
 		r.loop.Announce(old.Rows())
 		w.pass(settleTime, r)
@@ -186,7 +186,7 @@
 		assertEqual(t, "starts", w.workers["w1"].starts, 1)
 		w.end("j1.0.0.0", CauseDone, "")
 		w.pass(settleTime, r)
-		assertState(t, w, "j1", anviljob.Completed)
+		assertState(t, w, anviljob.Completed)
 	})
 	t.Run("a restarted worker's tasks start again", func(t *testing.T) {
 		// Guards against tasks that are believed to run at a worker that has forgotten them.
@@ -256,8 +256,8 @@
 		// Guards against starts that the advisor forbids.
 		w := newWorld(t, testPolicy())
 		w.advice = func(id string) bool { return id == "w2" }
-		w.addWorker("w1", poolName, core(4))
-		w.addWorker("w2", poolName, core(4))
+		w.addWorker("w1", core(4))
+		w.addWorker("w2", core(4))
 		r := w.newRig("e1")
 		w.pass(settleTime, r)
 		w.submit("j1", askingQueue, teamName, anviljob.NewStep(3, core(1)))
@@ -269,12 +269,12 @@
 		// Guards against a step that stands still because none of the first workers was approved.
 		w := newWorld(t, testPolicy())
 		w.advice = func(id string) bool { return id == "w2" }
-		w.addWorker("w1", poolName, core(4))
+		w.addWorker("w1", core(4))
 		r := w.newRig("e1")
 		w.pass(settleTime, r)
 		w.submit("j1", askingQueue, teamName, anviljob.NewStep(1, core(1)))
 		w.pass(settleTime, r)
-		w.addWorker("w2", poolName, core(4))
+		w.addWorker("w2", core(4))
 		w.pass(settleTime, r)
 		assertRunning(t, w, "j1.0.0.0")
 	})
@@ -327,7 +327,7 @@
 	t.Run("what a team sends beyond its share comes last", func(t *testing.T) {
 		// Guards against one team whose flood delays the others.
 		w := newWorld(t, testPolicy())
-		w.addWorker("w1", poolName, anvilsize.New(1000, 0, 0))
+		w.addWorker("w1", anvilsize.New(1000, 0, 0))
 		r := w.newRig("e1")
 		w.pass(settleTime, r)
 		w.submit("first", plainQueue, "", anviljob.NewStep(1, core(1), anviljob.WithEstimate(500)))
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -353,3 +353,7 @@
 		l.ending = nil
 	}
 }
+
+// Turn works off the messages that have arrived. Run does so by itself; a front end that drives a loop
+// without Run, such as a test, calls it.
+func (l *Loop) Turn() { l.drain() }
--- a/entry/anvilscheduler/path_test.go
+++ b/entry/anvilscheduler/path_test.go
@@ -13,7 +13,7 @@
 	t.Helper()
 	w := newWorld(t, testPolicy())
 	for _, id := range workers {
-		w.addWorker(id, poolName, core(4))
+		w.addWorker(id, core(4))
 	}
 	r := w.newRig("e1")
 	w.pass(settleTime, r)
@@ -30,7 +30,7 @@
 		w.submit("j1", plainQueue, teamName, anviljob.NewStep(2, core(1)), anviljob.NewStep(1, core(1), anviljob.WithAfter(0)))
 		w.pass(settleTime, r)
 		assertRunning(t, w, "j1.0.0.0", "j1.0.0.1")
-		assertState(t, w, "j1", anviljob.Running)
+		assertState(t, w, anviljob.Running)
 		w.end("j1.0.0.0", CauseDone, "")
 		w.pass(settleTime, r)
 		assertRunning(t, w, "j1.0.0.1")
@@ -39,7 +39,7 @@
 		assertRunning(t, w, "j1.0.1.0")
 		w.end("j1.0.1.0", CauseDone, "")
 		w.pass(settleTime, r)
-		assertState(t, w, "j1", anviljob.Completed)
+		assertState(t, w, anviljob.Completed)
 		assertEqual(t, "intake rows", len(w.store.rows[anvilstorage.Intake]), 0)
 		assertEqual(t, "progress rows", len(w.store.rows[anvilstorage.Progress]), 0)
 		assertEqual(t, "ends that are kept", len(w.workers["w1"].ends), 0)
@@ -53,10 +53,10 @@
 			w.end("j1.0.0.0", CauseFailed, "")
 		}
 		w.pass(settleTime, r)
-		assertState(t, w, "j1", anviljob.Running)
+		assertState(t, w, anviljob.Running)
 		w.end("j1.0.0.0", CauseFailed, "")
 		w.pass(settleTime, r)
-		assertState(t, w, "j1", anviljob.Failed)
+		assertState(t, w, anviljob.Failed)
 		assertRunning(t, w)
 	})
 	t.Run("room and the team's limit are kept", func(t *testing.T) {
@@ -72,7 +72,7 @@
 	t.Run("labels and the spread over workers are kept", func(t *testing.T) {
 		// Guards against tasks on workers that their step excludes.
 		w, r := started(t, "w1", "w2")
-		k := w.addWorker("w3", poolName, core(4), "b")
+		k := w.addWorker("w3", core(4), "b")
 		w.submit("j1", plainQueue, teamName, anviljob.NewStep(2, core(1), anviljob.WithLabel("b")))
 		w.submit("j2", plainQueue, teamName, anviljob.NewStep(4, core(1), anviljob.WithSpread(1)))
 		w.pass(settleTime, r)
@@ -108,7 +108,7 @@
 		w.cancel("j1")
 		w.pass(settleTime, r)
 		assertRunning(t, w)
-		assertState(t, w, "j1", anviljob.Cancelled)
+		assertState(t, w, anviljob.Cancelled)
 		assertEqual(t, "starts", w.workers["w1"].starts, 4)
 		assertEqual(t, "intake rows", len(w.store.rows[anvilstorage.Intake]), 0)
 	})
@@ -119,7 +119,7 @@
 		w.pass(settleTime, r)
 		w.submit("j1", plainQueue, teamName, anviljob.NewStep(1, core(1)))
 		w.pass(settleTime, r)
-		assertState(t, w, "j1", anviljob.Cancelled)
+		assertState(t, w, anviljob.Cancelled)
 		assertEqual(t, "starts", w.workers["w1"].starts, 0)
 	})
 }
@@ -172,6 +172,6 @@
 		w.end("j1.0.0.0", CauseDone, "")
 		w.end("j1.0.0.1", CauseDone, "")
 		w.pass(settleTime, r)
-		assertState(t, w, "j1", anviljob.Completed)
+		assertState(t, w, anviljob.Completed)
 	})
 }
--- a/entry/anvilscheduler/rig_test.go
+++ b/entry/anvilscheduler/rig_test.go
@@ -37,10 +37,10 @@
 }
 
 // addWorker adds a worker to the fleet and to the platform's list.
-func (w *world) addWorker(id, pool string, capacity anvilsize.Size, labels ...string) *fakeWorker {
+func (w *world) addWorker(id string, capacity anvilsize.Size, labels ...string) *fakeWorker {
 	k := &fakeWorker{world: w, id: id, life: int64(len(w.list) + 1), capacity: capacity, runs: map[anviljob.TaskID]*fakeRun{}, floor: map[anviljob.TaskID]int{}}
 	w.workers[id] = k
-	w.list = append(w.list, NewListed(id, id+":1", pool, "d1", labels, capacity, k.life))
+	w.list = append(w.list, NewListed(id, id+":1", poolName, "d1", labels, capacity, k.life))
 	return k
 }
 
@@ -496,9 +496,9 @@
 	}
 }
 
-func assertState(t testing.TB, w *world, id string, want anviljob.State) {
+func assertState(t testing.TB, w *world, want anviljob.State) {
 	t.Helper()
-	assertEqual(t, "state of "+id, w.state(id), want)
+	assertEqual(t, "state of j1", w.state("j1"), want)
 }
 
 func assertRunning(t testing.TB, w *world, want ...string) {
--- a/entry/anvilscheduler/work.go
+++ b/entry/anvilscheduler/work.go
@@ -54,9 +54,8 @@
 	sub     *anviljob.Submission
 	machine anvilchart.Machine
 	stages  []*stage
-	// due is the number of occurrences that have been laid out, done the number of finished stages.
-	due  int
-	done int
+	// due is the number of occurrences that have been laid out.
+	due int
 	// arrived is the time of the loop's clock at which the job was accepted.
 	arrived anvilclock.Millis
 	// bound is the number of runs that may be under way.
