--- a/entry/anvilscheduler/pass.go
+++ b/entry/anvilscheduler/pass.go
@@ -106,8 +106,9 @@
 	if s.step.Lasting() {
 		return urgency{band: bandTimely, latest: begin}
 	}
-	objective := q.Objective(s.job.sub.Spec().Chain(0))
-	latest := begin + objective - s.tail
+	asking := q.Advice().Cost(adviceWorkers)
+	objective := q.Objective(s.job.sub.Spec().Chain(asking))
+	latest := begin + objective - s.tail - asking*anvilclock.Millis(s.depth)
 	switch {
 	case s.job.excess && now <= latest+(hopeless-1)*objective:
 		return urgency{band: bandExcess, latest: latest}
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -5,20 +5,21 @@
 // Timing of the tenure.
 const (
 	// renewEvery is the longest time between two commits of the holder. Three renewals fit into validity.
-	renewEvery = anvilclock.Millis(350)
+	renewEvery = anvilclock.Millis(300)
 	// validity is how long after the sending of its last applied commit the holder may send starts. It
 	// ends before others may claim the tenure.
-	validity = anvilclock.Millis(1300)
+	validity = anvilclock.Millis(1000)
 	// vacantAfter is how long the row of the tenure must stay unchanged before another instance claims it.
-	vacantAfter = anvilclock.Millis(1700)
+	// A slow store answers after 240 ms, so a living holder changes the row every 540 ms.
+	vacantAfter = anvilclock.Millis(1100)
 	// watchEvery is the pause between two looks at the row of the tenure.
 	watchEvery = anvilclock.Millis(250)
 	// watchGap is the longest time between two successful looks that count as one observation: after an
 	// outage of the store, the holder gets its time to renew first.
 	watchGap = anvilclock.Millis(1000)
 	// distanceFactor delays the claim of instances far from the store by multiples of their round trip,
-	// since the holder commits all the time. 24 ms between regions delay it by 480 ms.
-	distanceFactor = 20
+	// since the holder commits all the time. 24 ms between regions delay it by 240 ms.
+	distanceFactor = 10
 	// holdGrace is how long a holder that can't renew goes on holding the leases of running tasks, so
 	// that an outage of the store stops no work. A successor waits for it before it counts on a lapse.
 	holdGrace = anvilclock.Millis(8000)
@@ -119,6 +120,8 @@
 	askWorkers = 100
 	// reservations is how many gangs may keep room free for themselves at a time.
 	reservations = 3
+	// adviceWorkers is the number of workers on which a question counts in a job's objective.
+	adviceWorkers = 30
 	// hopeless is the multiple of its objective after which a job earns nothing.
 	hopeless = 3
 	// keepEnded is how long the state of an ended job is kept.
--- a/entry/anvilscheduler/work.go
+++ b/entry/anvilscheduler/work.go
@@ -90,8 +90,10 @@
 	// begins is when the stage became ready.
 	begins anvilclock.Millis
 	ready  bool
-	// tail is the estimate of the longest chain of work that begins with the stage.
-	tail anvilclock.Millis
+	// tail is the estimate of the longest chain of work that begins with the stage, depth its number of
+	// steps.
+	tail  anvilclock.Millis
+	depth int
 	// perWorker counts the tasks at each worker.
 	perWorker map[*worker]int
 	tickets   tickets
@@ -256,10 +258,11 @@
 // layOut makes the stages of the next occurrence.
 func (l *Loop) layOut(j *job) {
 	spec := j.sub.Spec()
-	tails := spec.Tails(0)
+	tails, depths := spec.Tails(0), spec.Depths()
 	for i := range spec.Steps() {
 		s := &stage{
 			job: j, step: spec.Step(i), occurrence: j.due, index: i, open: spec.Step(i).Count(), tail: tails[i],
+			depth:     depths[i],
 			perWorker: map[*worker]int{},
 		}
 		for n := range s.step.Count() {
--- a/lib/anviljob/job.go
+++ b/lib/anviljob/job.go
@@ -126,6 +126,18 @@
 	return tails
 }
 
+// Depths returns, for each step, the number of steps of the longest chain that begins with it.
+func (s *Spec) Depths() []int {
+	depths := make([]int, len(s.steps))
+	for i := len(s.steps) - 1; i >= 0; i-- {
+		depths[i]++
+		for _, a := range s.steps[i].after {
+			depths[a] = max(depths[a], depths[i])
+		}
+	}
+	return depths
+}
+
 // Lasting reports whether some step runs until the job is cancelled.
 func (s *Spec) Lasting() bool {
 	for i := range s.steps {
