--- a/entry/anvilscheduler/fault_test.go
+++ b/entry/anvilscheduler/fault_test.go
@@ -7,6 +7,7 @@
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anviljob"
+	"anvilhold.org/lib/anvilpolicy"
 	"anvilhold.org/lib/anvilsize"
 )
 
@@ -341,3 +342,38 @@
 		assertRunning(t, w, "other.0.0.0")
 	})
 }
+
+func TestHeadroom(t *testing.T) {
+	policy := anvilpolicy.New(1, []anvilpolicy.Queue{
+		anvilpolicy.NewQueue("quick", "h", "/q/", poolName, anvilpolicy.WithObjective(2, 1000)),
+		anvilpolicy.NewQueue("batch", "h", "/b/", poolName, anvilpolicy.WithPriority(2), anvilpolicy.WithObjective(4, 3000)),
+	})
+	long := anviljob.WithEstimate(8000)
+	t.Run("work that can wait leaves room to urgent queues", func(t *testing.T) {
+		// Guards against a burst of short jobs behind long tasks that fill every worker.
+		w := newWorld(t, policy)
+		for _, id := range []string{"w1", "w2", "w3"} {
+			w.addWorker(id, core(4))
+		}
+		r := w.newRig("e1")
+		w.pass(settleTime, r)
+		w.submit("b1", "batch", "", anviljob.NewStep(12, core(1), long))
+		w.pass(settleTime, r)
+		assertEqual(t, "long tasks", len(w.running()), 10)
+		w.submit("q1", "quick", "", anviljob.NewStep(2, core(1)))
+		w.pass(settleTime, r)
+		assertEqual(t, "all tasks", len(w.running()), 12)
+	})
+	t.Run("work that can no longer wait takes all room", func(t *testing.T) {
+		// Guards against jobs that are late because room is kept for work that does not come.
+		w := newWorld(t, policy)
+		w.addWorker("w1", core(4))
+		r := w.newRig("e1")
+		w.pass(settleTime, r)
+		w.submit("b1", "batch", "", anviljob.NewStep(4, core(1), anviljob.WithEstimate(100)))
+		w.pass(settleTime, r)
+		assertEqual(t, "tasks", len(w.running()), 3)
+		w.pass(2500, r)
+		assertEqual(t, "tasks later", len(w.running()), 4)
+	})
+}
--- a/entry/anvilscheduler/pass.go
+++ b/entry/anvilscheduler/pass.go
@@ -16,6 +16,8 @@
 type urgency struct {
 	band   int
 	latest anvilclock.Millis
+	// pressed says that the job can no longer wait for others.
+	pressed bool
 }
 
 // Bands of urgency.
@@ -43,6 +45,7 @@
 	l.work.pause = max(passGap, anvilclock.Millis(len(list)/stagesPerMilli))
 	p := &placing{
 		loop: l, now: now, shadow: map[*worker]anvilsize.Size{}, outlooks: map[string]*outlook{}, soon: map[moment]anvilsize.Size{}, claimed: map[*worker]anvilsize.Size{}, widest: map[string]anvilsize.Size{},
+		fills: map[string]*fill{},
 	}
 	for _, c := range list {
 		kept := l.placeStage(p, c)
@@ -113,9 +116,9 @@
 	case s.job.excess && now <= latest+(hopeless-1)*objective:
 		return urgency{band: bandExcess, latest: latest}
 	case now <= latest:
-		return urgency{band: bandTimely, latest: latest}
+		return urgency{band: bandTimely, latest: latest, pressed: now >= pressedBy(latest, objective)}
 	case now <= latest+(hopeless-1)*objective:
-		return urgency{band: bandLate, latest: latest}
+		return urgency{band: bandLate, latest: latest, pressed: true}
 	}
 	return urgency{band: bandHopeless, latest: latest}
 }
@@ -129,6 +132,8 @@
 	reserved int
 	short    shortage
 	outlooks map[string]*outlook
+	// fills tells how full the pools are.
+	fills map[string]*fill
 	// widest is the most room, in each dimension, that some worker of a pool has.
 	widest map[string]anvilsize.Size
 	// soon holds the room that workers will have, claimed what more urgent stages will take of it.
@@ -156,6 +161,7 @@
 		p.short.room++
 		return false
 	}
+	wait := p.mayWait(c)
 	for _, t := range c.s.tasks {
 		if t.machine.State() != taskWaiting {
 			continue
@@ -164,6 +170,10 @@
 			p.short.limit++
 			return false
 		}
+		if wait && !p.leavesHeadroom(c, 1) {
+			p.short.room++
+			return false
+		}
 		w := p.choose(c, t, true)
 		if w == nil {
 			kept := p.keepRoom(c)
@@ -171,6 +181,7 @@
 			return kept
 		}
 		l.place(t, w)
+		p.fillOf(c.queue.Pool()).used = p.fillOf(c.queue.Pool()).used.Add(c.s.step.Room())
 	}
 	return false
 }
@@ -327,6 +338,10 @@
 		p.short.limit++
 		return false
 	}
+	if p.mayWait(c) && !p.leavesHeadroom(c, int64(len(s.tasks))) {
+		p.short.room++
+		return false
+	}
 	if plan := p.plan(c, true); plan != nil {
 		run := 0
 		for _, t := range s.tasks {
--- a/lib/anvilpolicy/policy.go
+++ b/lib/anvilpolicy/policy.go
@@ -140,6 +140,9 @@
 	return &p.queues[i], true
 }
 
+// Queues returns all queues.
+func (p *Policy) Queues() []Queue { return p.queues }
+
 // Pool returns a pool by name.
 func (p *Policy) Pool(name string) (Pool, bool) {
 	pool, ok := p.pools[name]
