anvilscheduler: keep the room of a run until it has been stopped

Change: an event of the task's chart for it; the task counts as done, its run as bound until its end. Ruled out: lost stops and unanswered starts (none at that worker in the log).

--- a/entry/anvilscheduler/fault_test.go
+++ b/entry/anvilscheduler/fault_test.go
@@ -175,6 +175,31 @@
 			t.Fatal("the task did not start on the other worker")
 		}
 	})
+	t.Run("a run that is no longer needed takes room until it has been stopped", func(t *testing.T) {
+		// Guards against an overcommitted worker: the first run had ended behind a cut, the second one goes on.
+		w, r := started(t, "w1", "w2")
+		w.submit("j1", plainQueue, "", anviljob.NewStep(1, core(4), anviljob.WithEstimate(60_000)))
+		w.pass(settleTime, r)
+		first := w.at("j1.0.0.0")
+		first.silent = true
+		w.end("j1.0.0.0", CauseDone, "")
+		w.pass(2*leaseTime, r)
+		second := w.at("j1.0.0.0")
+		if second == nil {
+			t.Fatal("the task did not start again")
+		}
+		second.slow, first.silent = true, false
+		first.capacity = core(0)
+		w.submit("j2", plainQueue, "", anviljob.NewStep(1, core(4)))
+		i := slices.IndexFunc(w.list, func(e Listed) bool { return e.id == first.id })
+		w.list[i].capacity = core(0)
+		w.pass(settleTime, r)
+		assertState(t, w, anviljob.Completed)
+		assertRunning(t, w, "j1.0.0.0")
+		w.end("j1.0.0.0", CauseStopped, "")
+		w.pass(settleTime, r)
+		assertRunning(t, w, "j2.0.0.0")
+	})
 	t.Run("a start without an answer is sent again and runs once", func(t *testing.T) {
 		// Guards against a task that runs twice, or never, after a lost answer.
 		w, r := started(t, "w1")
--- a/entry/anvilscheduler/rig_test.go
+++ b/entry/anvilscheduler/rig_test.go
@@ -194,8 +194,10 @@
 	number int64
 	starts int
 	// silent loses all orders; mute carries them out and loses the answers; fault refuses starts.
+	// slow accepts stops and leaves the run to the test.
 	silent bool
 	mute   bool
+	slow   bool
 	fault  Fault
 }
 
@@ -305,7 +307,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if r := k.runs[o.Task()]; r != nil && r.run == o.Run() {
+	if r := k.runs[o.Task()]; r != nil && r.run == o.Run() && !k.slow {
 		k.end(o.Task(), CauseStopped, r.checkpoint)
 	}
 	k.floor[o.Task()] = max(k.floor[o.Task()], o.Run())
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -21,12 +21,14 @@
 			l.meter.Observe("task.start", (t.began - t.sent).Duration())
 		},
 		"stop":   func(t *task) { l.stopTask(t, l.clock.Now()) },
+		"settle": func(t *task) { t.settled = true },
 		"finish": func(t *task) { l.finishTask(t) },
 		"fail":   func(t *task) { l.failJob(t) },
 	}, map[string]func(*task) bool{
 		"lasting": func(t *task) bool { return t.stage.step.Lasting() },
 		"spent":   func(t *task) bool { return t.spent() },
-		"over":    func(t *task) bool { return t.stage.job.over() },
+		"over":    func(t *task) bool { return t.stage.job.over() && !t.settled },
+		"settled": func(t *task) bool { return t.settled },
 	})
 }
 
@@ -425,10 +427,13 @@
 	}
 	switch e.cause {
 	case CauseDone:
-		if t.worker != nil && t.machine.State() != taskPlaced {
-			l.sendStop(t.worker, t, StopOrder{task: t.id, run: t.run, token: l.tenure.token}, l.clock.Now())
+		if !t.stage.step.Gang() {
+			l.fireTask(t, "settled")
+			return
+		}
+		for _, m := range t.stage.tasks {
+			l.fireTask(m, "settled")
 		}
-		l.done(t)
 	case CauseFailed:
 		l.countFailure(t, e.run)
 		if t.machine.State() == taskWaiting && t.spent() {
--- a/entry/anvilscheduler/work.go
+++ b/entry/anvilscheduler/work.go
@@ -136,7 +136,9 @@
 	// inflight says that a start is on its way, doubtful that an earlier sending got no answer.
 	inflight bool
 	doubtful bool
-	avoid    *worker
+	// settled says that a former run has ended with success, and the bound one is being stopped.
+	settled bool
+	avoid   *worker
 }
 
 // States of the task chart that the code asks for.
@@ -195,6 +197,9 @@
 			default:
 				worker = t.worker.id()
 			}
+			if t.settled {
+				phase, worker = anvilstorage.Done, ""
+			}
 			failures, failed := t.failures, t.failedRun
 			if s.step.Gang() {
 				failures, failed = s.failures, s.failedRun
