--- a/entry/anvilscheduler/fault_test.go
+++ b/entry/anvilscheduler/fault_test.go
@@ -29,6 +29,16 @@
 		w.pass(settleTime, next)
 		assertState(t, w, anviljob.Completed)
 	})
+	t.Run("a new process of the holder's machine claims at once", func(t *testing.T) {
+		// Guards against a fleet that stands still for the time of a takeover after all processes were killed.
+		w := newWorld(t, testPolicy())
+		w.addWorker("w1", core(4))
+		w.pass(settleTime, w.newRig("m1-aaaa", WithMachine("m1")))
+		next := w.newRig("m1-bbbb", WithMachine("m1"))
+		other := w.newRig("m2-cccc", WithMachine("m2"))
+		w.pass(100, other, next)
+		assertEqual(t, "the machine's new process holds", next.loop.holding(), true)
+	})
 	t.Run("a holder that was frozen gives way", func(t *testing.T) {
 		// Guards against two holders that start the same work.
 		w, r := started(t, "w1")
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -60,6 +60,7 @@
 // Loop is the control loop of an entry instance. Its fields are owned by the goroutine that runs Run,
 // except for view and directory.
 type Loop struct {
+	machine  string
 	self     anvilstorage.Instance
 	store    Store
 	roster   Roster
@@ -137,6 +138,10 @@
 	return func(l *Loop) { l.bounds = bounds{maxLease: longest, stopGrace: stopGrace} }
 }
 
+// WithMachine sets the name of the machine. Names of instances begin with it: an earlier process of the
+// machine is gone once a new one runs.
+func WithMachine(name string) Option { return func(l *Loop) { l.machine = name } }
+
 // Defaults of the bounds.
 const (
 	defaultMaxLease  = anvilclock.Millis(6000)
--- a/entry/anvilscheduler/rig_test.go
+++ b/entry/anvilscheduler/rig_test.go
@@ -352,10 +352,10 @@
 	frozen bool
 }
 
-func (w *world) newRig(name string) *rig {
+func (w *world) newRig(name string, opts ...Option) *rig {
 	w.t.Helper()
 	self := anvilstorage.NewInstance(name, name+":1", "d1")
-	l, err := New(self, w.store, w, w, advisors{w}, WithClock(w.clock))
+	l, err := New(self, w.store, w, w, advisors{w}, append(opts, WithClock(w.clock))...)
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/entry/anvilscheduler/tenure.go
+++ b/entry/anvilscheduler/tenure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilchart"
@@ -90,7 +91,11 @@
 		return
 	}
 	wait := t.trip * distanceFactor
-	if t.row != 0 && current.Holder() != "" {
+	switch {
+	case l.machine != "" && strings.HasPrefix(current.Holder(), l.machine+"-"):
+		// The holder was an earlier process of this machine, which is gone.
+		wait = 0
+	case t.row != 0 && current.Holder() != "":
 		wait += vacantAfter
 	}
 	if m.since-t.since >= wait {
