anvilscheduler: let an instance near the store schedule first

First round trips are slow, so the delay by distance did not tell them apart. The first claim of all now waits 0.8 s and four times the delay.

--- a/entry/anvilscheduler/rig_test.go
+++ b/entry/anvilscheduler/rig_test.go
@@ -478,6 +478,8 @@
 	poolName    = "layout"
 	teamName    = "mosaic"
 	settleTime  = anvilclock.Millis(400)
+	// firstTime is longer than the first instance of all needs for its claim.
+	firstTime = firstClaim + settleTime
 )
 
 func core(n int64) anvilsize.Size { return anvilsize.New(n*1000, 0, 0) }
--- a/entry/anvilscheduler/tenure.go
+++ b/entry/anvilscheduler/tenure.go
@@ -95,7 +95,10 @@
 	case l.machine != "" && strings.HasPrefix(current.Holder(), l.machine+"-"):
 		// The holder was an earlier process of this machine, which is gone.
 		wait = 0
-	case t.row != 0 && current.Holder() != "":
+	case t.row == 0:
+		// Nobody has scheduled yet, so there is time to let an instance near the store come first.
+		wait = firstClaim + wait*firstFactor
+	case current.Holder() != "":
 		wait += vacantAfter
 	}
 	if m.since-t.since >= wait {
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -12,6 +12,10 @@
 	// vacantAfter is how long the row of the tenure must stay unchanged before another instance claims it.
 	// A slow store answers after 240 ms, so a living holder changes the row every 540 ms.
 	vacantAfter = anvilclock.Millis(1100)
+	// firstClaim is the wait before the first claim of all, and firstFactor multiplies the delay by distance:
+	// instances start within 0.3 s of each other, and their first round trips are slow.
+	firstClaim  = anvilclock.Millis(800)
+	firstFactor = 4
 	// watchEvery is the pause between two looks at the row of the tenure.
 	watchEvery = anvilclock.Millis(250)
 	// watchGap is the longest time between two successful looks that count as one observation: after an
