anvilintake: store the submissions of an instance together

Change: one transaction at a time for an instance, longer pauses after a refusal, and more patience of followers while looks are slow.

--- a/entry/anvilintake/intake.go
+++ b/entry/anvilintake/intake.go
@@ -47,11 +47,12 @@
 	herald  Herald
 	log     *anvilevent.Log
 	meter   Meter
+	batch   *batcher
 }
 
 // New returns an intake.
 func New(store Store, control Control, herald Herald, log *anvilevent.Log, meter Meter) *Intake {
-	return &Intake{store: store, control: control, herald: herald, log: log, meter: meter}
+	return &Intake{store: store, control: control, herald: herald, log: log, meter: meter, batch: newBatcher(store)}
 }
 
 // Timing.
@@ -59,10 +60,12 @@
 	// freshness is the greatest age of the configuration under which calls with a key are answered from
 	// memory. A key that was taken away must stop working within 5 s.
 	freshness = anvilclock.Millis(3000)
-	// commitTimeout bounds one try to store a submission.
-	commitTimeout = 700 * time.Millisecond
-	// retryPause is the pause between two tries.
-	retryPause = 40 * time.Millisecond
+	// commitTimeout bounds one try to store submissions; a slow store takes a quarter of a second, after up
+	// to a second of others that wait.
+	commitTimeout = 1400 * time.Millisecond
+	// retryPause is the pause between two tries. A store that refuses has a second of transactions waiting,
+	// and what the scheduling instance commits must get through between ours.
+	retryPause = 150 * time.Millisecond
 	// defaultDeadline bounds a call that names no deadline.
 	defaultDeadline = 3 * time.Second
 	// answerReserve is kept of a caller's deadline for the way of the answer.
@@ -230,16 +233,14 @@
 	}
 	sub := anviljob.NewSubmission(a.id, a.queue.Name(), a.team, in.store.Now(), spec)
 	state := anvilstorage.NewJobState(a.id, a.queue.Name(), a.team, anviljob.Queued, 0)
-	tx, err := submission(sub, state, a.view.Row())
+	rows, err := submission(sub, state)
 	if err != nil {
 		return Reply{result: Invalid, reason: err.Error()}, false
 	}
-	try, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	receipt, err := in.store.Commit(try, tx)
+	receipt, err := in.batch.commit(ctx, a.id, rows, a.view.Row())
 	if err == nil {
 		in.control.Directory().Put(state, receipt.Version())
-		in.tell(tx)
+		in.tell(rows)
 		return Reply{result: Accepted}, false
 	}
 	e := anvilstorage.As(err)
@@ -259,21 +260,20 @@
 }
 
 // tell announces the intake rows of a transaction to the instance that schedules.
-func (in *Intake) tell(tx *anvilstorage.Tx) {
+func (in *Intake) tell(rows []anvilstorage.Row) {
 	addr := in.control.View().Holder()
 	if addr == "" {
 		return
 	}
-	for _, r := range tx.Sets() {
+	for _, r := range rows {
 		if r.Table() == anvilstorage.Intake {
 			in.herald.Tell(addr, r)
 		}
 	}
 }
 
-// submission returns the transaction that stores a job, if its id is new and the configuration has not
-// changed since it was read.
-func submission(sub *anviljob.Submission, state anvilstorage.JobState, policy int64) (*anvilstorage.Tx, error) {
+// submission returns the rows that store a job.
+func submission(sub *anviljob.Submission, state anvilstorage.JobState) ([]anvilstorage.Row, error) {
 	intake, err := anvilstorage.SubmissionRow(sub)
 	if err != nil {
 		return nil, err
@@ -282,12 +282,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tx := &anvilstorage.Tx{}
-	tx.ExpectPolicy(policy)
-	tx.Expect(anvilstorage.States, sub.ID(), 0)
-	tx.Set(intake)
-	tx.Set(states)
-	return tx, nil
+	return []anvilstorage.Row{intake, states}, nil
 }
 
 // remaining returns how long a call may take.
@@ -410,7 +405,7 @@
 	defer cancel()
 	_, err := in.store.Commit(try, tx)
 	if err == nil {
-		in.tell(tx)
+		in.tell(tx.Sets())
 		return Reply{result: Accepted}, false
 	}
 	if p := anvilstorage.As(err).Policy(); p != nil {
--- a/entry/anvilintake/intake_test.go
+++ b/entry/anvilintake/intake_test.go
@@ -29,10 +29,17 @@
 	getErr  error
 	commits int
 	gets    int
+	// gate holds commits up; sizes are the numbers of jobs in them.
+	gate  chan struct{}
+	sizes []int
 }
 
-func (s *store) Commit(context.Context, *anvilstorage.Tx) (anvilstorage.Receipt, error) {
+func (s *store) Commit(_ context.Context, tx *anvilstorage.Tx) (anvilstorage.Receipt, error) {
+	if s.gate != nil {
+		<-s.gate
+	}
 	s.commits++
+	s.sizes = append(s.sizes, len(tx.Sets())/2)
 	if len(s.errs) > 0 {
 		err := s.errs[0]
 		s.errs = s.errs[1:]
@@ -241,3 +248,90 @@
 		assertResult(t, b.in.Cancel(t.Context(), NewCall("h", "/k/"+goodID, "key")), NoJob)
 	})
 }
+
+func TestBatch(t *testing.T) {
+	row := func(id string) []anvilstorage.Row {
+		return []anvilstorage.Row{anvilstorage.NewRow(anvilstorage.Intake, id, nil), anvilstorage.NewRow(anvilstorage.States, id, nil)}
+	}
+	t.Run("submissions that come while one is stored share a transaction", func(t *testing.T) {
+		// Guards against a slow store that is kept busy by single submissions.
+		s := &store{gate: make(chan struct{})}
+		b := newBatcher(s)
+		results := make(chan error, 4)
+		put := func(id string) {
+			_, err := b.commit(t.Context(), id, row(id), 1)
+			results <- err
+		}
+		go put("a")
+		for {
+			b.mu.Lock()
+			first := b.byID["a"] != nil && b.byID["a"].taken
+			b.mu.Unlock()
+			if first {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		for _, id := range []string{"b", "c", "c"} {
+			go put(id)
+		}
+		for {
+			b.mu.Lock()
+			n := len(b.waiting)
+			b.mu.Unlock()
+			if n == 2 {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(5 * time.Millisecond)
+		close(s.gate)
+		for range 4 {
+			if err := <-results; err != nil {
+				t.Fatal(err)
+			}
+		}
+		if len(s.sizes) != 2 || s.sizes[1] != 2 {
+			t.Fatalf("transactions of %v jobs", s.sizes)
+		}
+	})
+	t.Run("a known id does not hold up the others", func(t *testing.T) {
+		// Guards against a submission that fails because another one was sent twice.
+		s := &store{errs: []error{anvilstorage.NewConflict([]anvilstorage.Row{anvilstorage.ReadRow(anvilstorage.States, "a", nil, 4, false)}, nil)}}
+		b := newBatcher(s)
+		b.busy = true
+		errs := make(chan error, 2)
+		for _, id := range []string{"a", "b"} {
+			go func() {
+				_, err := b.commit(t.Context(), id, row(id), 1)
+				if id == "b" {
+					errs <- err
+				}
+			}()
+		}
+		for {
+			b.mu.Lock()
+			n := len(b.waiting)
+			b.mu.Unlock()
+			if n == 2 {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		b.run()
+		if err := <-errs; err != nil {
+			t.Fatal(err)
+		}
+	})
+	t.Run("what was not sent is withdrawn", func(t *testing.T) {
+		// Guards against a job that runs after its caller was told that it will not.
+		b := newBatcher(&store{})
+		b.busy = true
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := b.commit(ctx, "a", row("a"), 1)
+		if anvilstorage.As(err).Kind() != anvilstorage.Refused || len(b.waiting) != 0 {
+			t.Fatalf("%v, %d wait", err, len(b.waiting))
+		}
+	})
+}
--- a/entry/anvilscheduler/effects.go
+++ b/entry/anvilscheduler/effects.go
@@ -78,6 +78,9 @@
 	return l
 }
 
+// ID returns the worker's id.
+func (l Listed) ID() string { return l.id }
+
 // WorkerPage is what the list of workers held, or what has changed in it.
 type WorkerPage struct {
 	entries []Listed
@@ -89,12 +92,18 @@
 	return WorkerPage{entries: entries, version: version}
 }
 
+// Entries returns the entries.
+func (p WorkerPage) Entries() []Listed { return p.entries }
+
 // Target is the process of a worker to which an order goes.
 type Target struct {
 	id   string
 	addr string
 }
 
+// NewTarget returns a target.
+func NewTarget(id, addr string) Target { return Target{id: id, addr: addr} }
+
 // ID returns the worker's id.
 func (t Target) ID() string { return t.id }
 
@@ -244,6 +253,18 @@
 	return Report{life: life, clock: clock, active: active, endings: endings}
 }
 
+// Life returns the start of the worker's process.
+func (r Report) Life() int64 { return r.life }
+
+// Clock returns the worker's clock.
+func (r Report) Clock() anvilclock.Millis { return r.clock }
+
+// Active returns the runs that go on.
+func (r Report) Active() []Active { return r.active }
+
+// Endings returns the ends that the worker still lists.
+func (r Report) Endings() []Ending { return r.endings }
+
 // Ticket lets one worker run a step.
 type Ticket struct {
 	worker string
@@ -320,24 +341,3 @@
 	}
 	return fmt.Sprintf("order not confirmed: %s: %v", e.fault, e.cause)
 }
-
-// Entries returns the entries.
-func (p WorkerPage) Entries() []Listed { return p.entries }
-
-// ID returns the worker's id.
-func (l Listed) ID() string { return l.id }
-
-// NewTarget returns a target.
-func NewTarget(id, addr string) Target { return Target{id: id, addr: addr} }
-
-// Life returns the start of the worker's process.
-func (r Report) Life() int64 { return r.life }
-
-// Clock returns the worker's clock.
-func (r Report) Clock() anvilclock.Millis { return r.clock }
-
-// Active returns the runs that go on.
-func (r Report) Active() []Active { return r.active }
-
-// Endings returns the ends that the worker still lists.
-func (r Report) Endings() []Ending { return r.endings }
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -60,6 +60,7 @@
 // Loop is the control loop of an entry instance. Its fields are owned by the goroutine that runs Run,
 // except for view and directory.
 type Loop struct {
+	// machine is the beginning of the names of this machine's instances; empty when it is not known.
 	machine  string
 	self     anvilstorage.Instance
 	store    Store
--- a/entry/anvilscheduler/path_test.go
+++ b/entry/anvilscheduler/path_test.go
@@ -175,3 +175,28 @@
 		assertState(t, w, anviljob.Completed)
 	})
 }
+
+func TestRepeat(t *testing.T) {
+	t.Run("occurrences start when they are due and the job ends with the last", func(t *testing.T) {
+		// Guards against occurrences that start early, or a job that ends before its last one.
+		w, r := started(t, "w1")
+		spec, err := anviljob.NewSpec("payload", []anviljob.Step{anviljob.NewStep(1, core(1))},
+			anviljob.NewRepeat(2, w.clock.Now()+1000, 1000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.submitSpec("j1", plainQueue, teamName, spec)
+		w.pass(900, r)
+		assertRunning(t, w)
+		w.pass(500, r)
+		assertRunning(t, w, "j1.0.0.0")
+		w.end("j1.0.0.0", CauseDone, "")
+		w.pass(settleTime, r)
+		assertState(t, w, anviljob.Running)
+		w.pass(settleTime, r)
+		assertRunning(t, w, "j1.1.0.0")
+		w.end("j1.1.0.0", CauseDone, "")
+		w.pass(settleTime, r)
+		assertState(t, w, anviljob.Completed)
+	})
+}
--- a/entry/anvilscheduler/rig_test.go
+++ b/entry/anvilscheduler/rig_test.go
@@ -435,6 +435,11 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	w.submitSpec(id, queue, team, spec)
+}
+
+func (w *world) submitSpec(id, queue, team string, spec *anviljob.Spec) {
+	w.t.Helper()
 	intake, err := anvilstorage.SubmissionRow(anviljob.NewSubmission(id, queue, team, w.clock.Now(), spec))
 	if err != nil {
 		w.t.Fatal(err)
--- a/entry/anvilscheduler/tenure.go
+++ b/entry/anvilscheduler/tenure.go
@@ -66,8 +66,8 @@
 	if m.err != nil || t.machine.State() != stateFollowing {
 		return
 	}
-	now := l.clock.Now()
-	if trip := now - m.since; t.trip == 0 || trip < t.trip {
+	trip := l.clock.Now() - m.since
+	if t.trip == 0 || trip < t.trip {
 		t.trip = trip
 	}
 	current := anvilstorage.Tenure{}
@@ -99,7 +99,8 @@
 		// Nobody has scheduled yet, so there is time to let an instance near the store come first.
 		wait = firstClaim + wait*firstFactor
 	case current.Holder() != "":
-		wait += vacantAfter
+		// A slow store delays the holder's commits as it does this look.
+		wait = vacantAfter + max(trip, t.trip)*distanceFactor
 	}
 	if m.since-t.since >= wait {
 		l.fireTenure("vacant")
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -34,10 +34,12 @@
 	// commitGap is the least time between two commits of the holder. 40 commits a second leave five sixths
 	// of what one part of the store takes to submissions.
 	commitGap = anvilclock.Millis(25)
-	// commitTimeout bounds one try of a commit; a slow store takes a quarter of a second.
-	commitTimeout = anvilclock.Millis(900)
-	// commitRetry is the pause before a commit is tried again.
-	commitRetry = anvilclock.Millis(60)
+	// commitTimeout bounds one try of a commit; a slow store takes a quarter of a second, after up to a second
+	// of others that wait.
+	commitTimeout = anvilclock.Millis(1600)
+	// commitRetry is the pause before a commit is tried again. It is short, so that the holder gets through
+	// between the submissions of all instances when the store is slow.
+	commitRetry = anvilclock.Millis(25)
 	// readTimeout bounds reading a table.
 	readTimeout = anvilclock.Millis(3000)
 	// feedGap is the least time between two readings of the changes of jobs and workers by the holder.
--- a/entry/anvilscheduler/work.go
+++ b/entry/anvilscheduler/work.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilchart"
@@ -228,38 +227,6 @@
 	return j
 }
 
-// share is a bucket of the jobs that a team may send; it fills with the team's weight in jobs a second.
-type share struct {
-	left float64
-	at   anvilclock.Millis
-}
-
-// withinShare counts a job of a team and reports whether it is within the team's share.
-func (l *Loop) withinShare(team string, at anvilclock.Millis) bool {
-	if l.config.policy == nil {
-		return true
-	}
-	t, ok := l.config.policy.Team(team)
-	if !ok || t.Weight() <= 0 {
-		return true
-	}
-	most := t.Weight() * float64(shareWindow) / 1000
-	b := l.work.shares[team]
-	if b == nil {
-		b = &share{left: most, at: at}
-		l.work.shares[team] = b
-	}
-	if at > b.at {
-		b.left = min(most, b.left+t.Weight()*float64(at-b.at)/1000)
-		b.at = at
-	}
-	if b.left < 1 {
-		return false
-	}
-	b.left--
-	return true
-}
-
 // layOut makes the stages of the next occurrence.
 func (l *Loop) layOut(j *job) {
 	spec := j.sub.Spec()
@@ -280,7 +247,7 @@
 	j.due++
 }
 
-// begin offers the stages of a job whose predecessors are done.
+// offer makes ready the stages of a job whose predecessors are done.
 func (l *Loop) offer(j *job) {
 	if j.over() {
 		return
@@ -360,129 +327,6 @@
 	l.mark(j)
 }
 
-// adoptJobs rebuilds the jobs from the store and returns the cancellations.
-func (l *Loop) adoptJobs(intake, progress anvilstorage.Page) map[string]bool {
-	l.work.storeOffset = intake.Now() - l.clock.Now()
-	cancels := map[string]bool{}
-	var subs []*anviljob.Submission
-	for _, r := range intake.Rows() {
-		if id, ok := anvilstorage.CancelledID(r.Key()); ok {
-			cancels[id] = true
-			continue
-		}
-		sub, err := anvilstorage.ParseSubmission(r)
-		if err != nil {
-			l.log.Fault(anvilevent.RowUnreadable, err, "table", string(anvilstorage.Intake), "key", r.Key())
-			continue
-		}
-		subs = append(subs, sub)
-	}
-	slices.SortFunc(subs, func(a, b *anviljob.Submission) int {
-		return cmp.Or(cmp.Compare(a.At(), b.At()), cmpString(a.ID(), b.ID()))
-	})
-	for _, sub := range subs {
-		l.admit(sub)
-	}
-	for _, r := range progress.Rows() {
-		j := l.work.jobs[r.Key()]
-		if j == nil {
-			continue
-		}
-		runs, err := anvilstorage.ParseProgress(r)
-		if err != nil {
-			l.log.Fault(anvilevent.RowUnreadable, err, "table", string(anvilstorage.Progress), "key", r.Key())
-			continue
-		}
-		l.adoptRuns(j, runs)
-	}
-	return cancels
-}
-
-// resumeJobs goes on with adopted jobs once their runs are bound to workers.
-func (l *Loop) resumeJobs(cancels map[string]bool) {
-	for _, j := range l.work.jobs {
-		// The job may have ended in the last commits of the former holder.
-		if s, ok := l.directory.Find(j.id()); ok {
-			j.stored = s.State()
-			if s.State().Ended() {
-				l.resumeEnd(j, s.State())
-			}
-		}
-		l.resumeFailed(j)
-		l.offer(j)
-		l.checkFinished(j)
-	}
-	for id := range cancels {
-		l.cancel(id)
-	}
-}
-
-// resumeFailed fails a job with a task that has no attempts left.
-func (l *Loop) resumeFailed(j *job) {
-	for _, t := range j.tasks() {
-		if !j.over() && t.machine.State() == taskWaiting && t.spent() {
-			l.fireJob(j, "fail")
-			l.mark(j)
-		}
-	}
-}
-
-// resumeEnd brings a job whose end is stored, but whose runs were still being stopped, to that end.
-func (l *Loop) resumeEnd(j *job, state anviljob.State) {
-	switch state {
-	case anviljob.Failed:
-		l.fireJob(j, "fail")
-	case anviljob.Cancelled:
-		j.cancelled = true
-		l.fireJob(j, "cancel")
-	default:
-	}
-	l.mark(j)
-}
-
-func (l *Loop) adoptRuns(j *job, runs []anvilstorage.Run) {
-	for _, r := range runs {
-		for r.Occurrence() >= j.due && j.due < j.sub.Spec().Repeat().Count() {
-			l.layOut(j)
-		}
-		t := l.findTask(anviljob.NewTaskID(j.id(), r.Occurrence(), r.Step(), r.Index()))
-		if t == nil {
-			continue
-		}
-		t.run, t.failures, t.failedRun, t.checkpoint, t.life = r.Number(), r.Failures(), r.Failed(), r.Checkpoint(), r.Life()
-		s := t.stage
-		if s.step.Gang() {
-			s.failures, s.failedRun = max(s.failures, r.Failures()), max(s.failedRun, r.Failed())
-			if r.Checkpoint() != "" {
-				s.checkpoint = r.Checkpoint()
-			}
-		}
-		switch r.Phase() {
-		case anvilstorage.Done:
-			l.fireTask(t, "done")
-		case anvilstorage.Bound:
-			t.adopted = r.Worker()
-		default:
-		}
-	}
-	if len(runs) > 0 && !j.over() {
-		l.fireJob(j, "begin")
-	}
-}
-
-// attach binds an adopted run to its worker.
-func (l *Loop) attach(t *task, w *worker) {
-	if w.listed.life != t.life && t.life != 0 && w.listed.life != 0 {
-		// The worker is in a later life, which knows nothing of the run.
-		t.adopted = ""
-		return
-	}
-	t.worker, t.began = w, l.clock.Now()
-	t.machine = l.charts.task.NewMachine()
-	l.fireTask(t, "place")
-	l.fireTask(t, "committed")
-}
-
 // forget removes a job that has ended and whose records are gone.
 func (l *Loop) forget(j *job) {
 	delete(l.work.jobs, j.id())
