--- /dev/null
+++ b/entry/anvillink/link_test.go
@@ -0,0 +1,119 @@
+package anvillink
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"anvilhold.org/entry/anvilscheduler"
+	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anvilclock"
+)
+
+// patience ends a test that hangs; no result depends on it.
+const patience = 10 * time.Second
+
+// advisor approves every worker, or fails.
+type advisor struct{ err error }
+
+func (a advisor) Ask(_ context.Context, step string, workers []string) (anvilscheduler.Advice, error) {
+	tickets := make([]anvilscheduler.Ticket, 0, len(workers))
+	for _, w := range workers {
+		tickets = append(tickets, anvilscheduler.NewTicket(w, step+"/"+w))
+	}
+	return anvilscheduler.NewAdvice(tickets, 1500), a.err
+}
+
+type listener struct{ rows chan []anvilstorage.Row }
+
+func (l listener) Announce(rows []anvilstorage.Row) { l.rows <- rows }
+func (listener) ContactAge() anvilclock.Millis      { return 42 }
+
+// serve starts an instance and returns its address.
+func serve(t *testing.T, a Advisor, l Listener) string {
+	t.Helper()
+	in, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(a, l)
+	go func() { _ = s.Serve(in) }()
+	t.Cleanup(s.Stop)
+	return in.Addr().String()
+}
+
+func links(t *testing.T, local Advisor) (*Links, context.Context) {
+	t.Helper()
+	l := NewLinks(local)
+	t.Cleanup(l.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	t.Cleanup(cancel)
+	return l, ctx
+}
+
+func assertTickets(t *testing.T, got anvilscheduler.Advice, err error) {
+	t.Helper()
+	if err != nil || len(got.Tickets()) != 2 || got.Tickets()[1].Text() != "s/w2" || got.Validity() != 1500 {
+		t.Fatalf("%+v, %v", got, err)
+	}
+}
+
+func TestAsk(t *testing.T) {
+	t.Run("through another instance and directly", func(t *testing.T) {
+		// Guards against tickets or their validity that are lost on the way.
+		l, ctx := links(t, advisor{})
+		addr := serve(t, advisor{}, listener{})
+		for _, to := range []string{addr, ""} {
+			advice, err := l.Ask(ctx, to, "s", []string{"w1", "w2"})
+			assertTickets(t, advice, err)
+		}
+	})
+	t.Run("a failure of the advisor is a failure", func(t *testing.T) {
+		// Guards against an advisor that does not answer and is taken to approve nobody.
+		l, ctx := links(t, advisor{})
+		addr := serve(t, advisor{err: errors.New("no answer")}, listener{})
+		if _, err := l.Ask(ctx, addr, "s", []string{"w1"}); err == nil {
+			t.Fatal("no error")
+		}
+	})
+}
+
+func TestTell(t *testing.T) {
+	t.Run("rows arrive as they were stored", func(t *testing.T) {
+		// Guards against announcements that name other versions than the store.
+		l, _ := links(t, advisor{})
+		heard := listener{rows: make(chan []anvilstorage.Row, 1)}
+		l.Tell(serve(t, advisor{}, heard), anvilstorage.ReadRow(anvilstorage.States, "j1", []byte("v"), 7, false))
+		select {
+		case rows := <-heard.rows:
+			if len(rows) != 1 || rows[0].Key() != "j1" || rows[0].Version() != 7 || string(rows[0].Value()) != "v" {
+				t.Fatalf("%+v", rows)
+			}
+		case <-time.After(patience):
+			t.Fatal("nothing was heard")
+		}
+	})
+	t.Run("never waits for an instance that is gone", func(t *testing.T) {
+		// Guards against a holder that stands still because an instance does not listen.
+		l, _ := links(t, advisor{})
+		begin := time.Now()
+		for range 10 * tellsMost {
+			l.Tell("127.0.0.1:1", anvilstorage.NewRow(anvilstorage.States, "j1", nil))
+		}
+		if time.Since(begin) > patience {
+			t.Fatal("the announcements waited")
+		}
+	})
+}
+
+func TestReach(t *testing.T) {
+	t.Run("tells the age of the last answer", func(t *testing.T) {
+		// Guards against an instance that takes an outage for a cut of its own, or the other way round.
+		l, ctx := links(t, advisor{})
+		if age, err := l.Reach(ctx, serve(t, advisor{}, listener{})); err != nil || age != 42 {
+			t.Fatalf("%d, %v", age, err)
+		}
+	})
+}
--- /dev/null
+++ b/entry/anvilstorage/row_test.go
@@ -0,0 +1,74 @@
+package anvilstorage
+
+import (
+	"reflect"
+	"testing"
+
+	"anvilhold.org/lib/anviljob"
+	"anvilhold.org/lib/anvilsize"
+)
+
+func assertSame(t *testing.T, what string, got, want any, err error) {
+	t.Helper()
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Fatalf("%s: got %+v (%v), want %+v", what, got, err, want)
+	}
+}
+
+func TestRows(t *testing.T) {
+	t.Run("a submission comes back whole", func(t *testing.T) {
+		// Guards against a field of a job that the scheduling instance does not see.
+		steps := []anviljob.Step{
+			anviljob.NewStep(4, anvilsize.New(500, 256, 1), anviljob.WithEstimate(900), anviljob.WithLabel("b"),
+				anviljob.WithRack("r1"), anviljob.WithSpread(2), anviljob.WithImage("i"), anviljob.WithTarget(80),
+				anviljob.WithMissing(1), anviljob.WithCheckpoints(true), anviljob.WithLasting(true)),
+			anviljob.NewStep(2, anvilsize.New(1, 2, 0), anviljob.WithAfter(0), anviljob.WithGang(true, true),
+				anviljob.WithSpeculative(true), anviljob.WithFills(true)),
+		}
+		spec, err := anviljob.NewSpec("payload", steps, anviljob.NewRepeat(3, 1000, 500))
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := anviljob.NewSubmission("j1", "q", "team", 77, spec)
+		row, err := SubmissionRow(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := ParseSubmission(row)
+		assertSame(t, "queue", got.Queue()+got.Team()+got.ID(), "qteamj1", err)
+		assertSame(t, "repeat", got.Spec().Repeat(), spec.Repeat(), nil)
+		for i := range steps {
+			a, b := *got.Spec().Step(i), *spec.Step(i)
+			assertSame(t, "size", a.Size(), b.Size(), nil)
+			assertSame(t, "flags", []any{a.Gang(), a.SameRack(), a.Checkpoints(), a.Lasting(), a.Fills(), a.Speculative()},
+				[]any{b.Gang(), b.SameRack(), b.Checkpoints(), b.Lasting(), b.Fills(), b.Speculative()}, nil)
+			assertSame(t, "values", []any{a.Count(), a.Estimate(), a.Label(), a.Rack(), a.Spread(), a.Image(), a.Target(), a.Missing()},
+				[]any{b.Count(), b.Estimate(), b.Label(), b.Rack(), b.Spread(), b.Image(), b.Target(), b.Missing()}, nil)
+		}
+	})
+	t.Run("progress comes back whole", func(t *testing.T) {
+		// Guards against a successor that forgets a run, a failure or a checkpoint.
+		want := []Run{NewRun(1, 2, 3, Bound, 4).Failing(2, 3).At("w1", 99).Saved("c"), NewRun(0, 0, 0, Done, 1)}
+		row, err := ProgressRow("j1", want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := ParseProgress(row)
+		assertSame(t, "runs", got, want, err)
+	})
+	t.Run("what can't be read is an error", func(t *testing.T) {
+		// Guards against a bad row that is taken for an empty one.
+		for _, text := range []string{`{`, `7`, `[{"p":9}]`} {
+			if _, err := ParseProgress(NewRow(Progress, "j1", []byte(text))); err == nil {
+				t.Fatalf("%s was read", text)
+			}
+		}
+	})
+	t.Run("cancellations are told from submissions", func(t *testing.T) {
+		// Guards against a cancellation that is taken for a job.
+		id, ok := CancelledID(CancelKey("j1"))
+		assertSame(t, "id", id, "j1", nil)
+		_, other := CancelledID("j1")
+		assertSame(t, "kinds", []bool{ok, other}, []bool{true, false}, nil)
+	})
+}
