anvilstorage: give the holder's chain a part of its own

Change: submissions and cancellations stay beside the operator's rows; tenure, progress and the states that the holder writes are in a part of their own.

--- a/entry/anvilintake/intake.go
+++ b/entry/anvilintake/intake.go
@@ -398,7 +398,7 @@
 	if s.State().Ended() {
 		return Reply{result: Accepted}, false
 	}
-	tx := &anvilstorage.Tx{}
+	tx := anvilstorage.NewTx(anvilstorage.CallsPart)
 	tx.ExpectPolicy(a.view.Row())
 	tx.Set(anvilstorage.NewRow(anvilstorage.Intake, anvilstorage.CancelKey(a.id), []byte("{}")))
 	try, cancel := context.WithTimeout(ctx, commitTimeout)
--- a/entry/anvilscheduler/adopt.go
+++ b/entry/anvilscheduler/adopt.go
@@ -13,12 +13,20 @@
 func (l *Loop) adoptJobs(intake, progress anvilstorage.Page) map[string]bool {
 	l.work.storeOffset = intake.Now() - l.clock.Now()
 	cancels := map[string]bool{}
+	open := make(map[string]bool, len(progress.Rows()))
+	for _, r := range progress.Rows() {
+		open[r.Key()] = true
+	}
 	var subs []*anviljob.Submission
 	for _, r := range intake.Rows() {
 		if id, ok := anvilstorage.CancelledID(r.Key()); ok {
 			cancels[id] = true
 			continue
 		}
+		if s, ok := l.directory.Find(r.Key()); ok && s.State().Ended() && !open[r.Key()] {
+			l.work.spent = append(l.work.spent, r.Key())
+			continue
+		}
 		sub, err := anvilstorage.ParseSubmission(r)
 		if err != nil {
 			l.log.Fault(anvilevent.RowUnreadable, err, "table", string(anvilstorage.Intake), "key", r.Key())
--- a/entry/anvilscheduler/journal.go
+++ b/entry/anvilscheduler/journal.go
@@ -97,7 +97,7 @@
 
 func (l *Loop) nextBatch(now anvilclock.Millis) (*batch, error) {
 	g, t := &l.journal, &l.tenure
-	b := &batch{tx: &anvilstorage.Tx{}, count: g.count + 1, mark: g.flushed, settled: make(chan struct{})}
+	b := &batch{tx: anvilstorage.NewTx(anvilstorage.FleetPart), count: g.count + 1, mark: g.flushed, settled: make(chan struct{})}
 	b.tx.Expect(anvilstorage.Tenures, anvilstorage.TenureKey, t.row)
 	row, err := anvilstorage.TenureRow(anvilstorage.NewTenure(l.self.Name(), l.self.Addr(), t.token, b.count))
 	if err != nil {
@@ -139,11 +139,7 @@
 		b.states = append(b.states, stateWrite{j: j, state: s, row: row})
 	}
 	if state.Ended() && j.bound == 0 {
-		b.tx.Drop(anvilstorage.Intake, j.id())
 		b.tx.Drop(anvilstorage.Progress, j.id())
-		if j.cancelled {
-			b.tx.Drop(anvilstorage.Intake, anvilstorage.CancelKey(j.id()))
-		}
 		j.closed = true
 		return nil
 	}
@@ -233,6 +229,7 @@
 	for _, j := range b.jobs {
 		if j.closed && !j.marked {
 			l.forget(j)
+			l.work.spent = append(l.work.spent, j.id())
 		}
 	}
 	l.sendBound(b.bindings)
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -288,7 +288,7 @@
 	l.checkTenure(now)
 	l.tickFleet(now)
 	l.tickWork(now)
-	l.cleanStates(now)
+	l.clean(now)
 }
 
 // settle makes the decisions that the newest messages allow.
--- a/entry/anvilscheduler/messages.go
+++ b/entry/anvilscheduler/messages.go
@@ -41,10 +41,18 @@
 	intake    anvilstorage.Page
 	progress  anvilstorage.Page
 	instances anvilstorage.Page
+	states    anvilstorage.Page
 	workers   WorkerPage
 	err       error
 }
 
+// cleaned is the answer to a removal of old rows.
+type cleaned struct {
+	token int64
+	spent []string
+	err   error
+}
+
 // intakeRead is news of the intake table.
 type intakeRead struct {
 	token int64
--- a/entry/anvilscheduler/tenure.go
+++ b/entry/anvilscheduler/tenure.go
@@ -116,7 +116,7 @@
 		l.log.Fault(anvilevent.RowUnreadable, err)
 		return
 	}
-	tx := &anvilstorage.Tx{}
+	tx := anvilstorage.NewTx(anvilstorage.FleetPart)
 	tx.Expect(anvilstorage.Tenures, anvilstorage.TenureKey, t.row)
 	tx.Set(row)
 	l.log.Record(anvilevent.TenureClaimed, "token", next.Token(), "from", t.current.Holder(), "unchanged", int64(l.clock.Now()-t.since))
@@ -172,6 +172,9 @@
 		l.fireTenure("deposed")
 		return
 	}
+	for _, r := range m.states.Rows() {
+		l.learnState(r)
+	}
 	cancels := l.adoptJobs(m.intake, m.progress)
 	l.adoptInstances(m.instances)
 	l.adoptWorkers(m.workers)
@@ -214,7 +217,7 @@
 func (l *Loop) release() {
 	t := &l.tenure
 	t.releasing = true
-	tx := &anvilstorage.Tx{}
+	tx := anvilstorage.NewTx(anvilstorage.FleetPart)
 	tx.Expect(anvilstorage.Tenures, anvilstorage.TenureKey, t.row)
 	row, err := anvilstorage.TenureRow(anvilstorage.NewTenure("", "", t.token, 0))
 	if err != nil {
@@ -229,7 +232,7 @@
 			// The row's version is known only after the commit that is on its way.
 			<-inflight.settled
 			if v := inflight.row.Load(); v != 0 {
-				tx = &anvilstorage.Tx{}
+				tx = anvilstorage.NewTx(anvilstorage.FleetPart)
 				tx.Expect(anvilstorage.Tenures, anvilstorage.TenureKey, v)
 				tx.Set(row)
 			}
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -132,8 +132,10 @@
 	hopeless = 3
 	// keepEnded is how long the state of an ended job is kept.
 	keepEnded = anvilclock.Millis(150_000)
-	// cleanEvery is the pause between two removals of old states.
-	cleanEvery = anvilclock.Millis(5000)
+	// cleanEvery is the pause between two removals of old rows, cleanMost the jobs of one removal: each takes
+	// two entries of a transaction.
+	cleanEvery = anvilclock.Millis(1000)
+	cleanMost  = 24
 	// retryStop is the pause before a stop that has shown no end is sent again.
 	retryStop = anvilclock.Millis(600)
 )
--- a/entry/anvilscheduler/watch.go
+++ b/entry/anvilscheduler/watch.go
@@ -175,7 +175,8 @@
 func (l *Loop) readOnce(ctx context.Context, m *loaded) error {
 	ctx, cancel := withTimeout(ctx, readTimeout)
 	defer cancel()
-	results := make(chan error, 4)
+	results := make(chan error, 5)
+	go func() { var err error; m.states, err = l.store.Scan(ctx, anvilstorage.States); results <- err }()
 	go func() { var err error; m.intake, err = l.store.Scan(ctx, anvilstorage.Intake); results <- err }()
 	go func() { var err error; m.progress, err = l.store.Scan(ctx, anvilstorage.Progress); results <- err }()
 	go func() { var err error; m.instances, err = l.store.Scan(ctx, anvilstorage.Instances); results <- err }()
@@ -232,7 +233,7 @@
 		l.log.Fault(anvilevent.RowUnreadable, err)
 		return
 	}
-	tx := &anvilstorage.Tx{}
+	tx := anvilstorage.NewTx(anvilstorage.CallsPart)
 	tx.Set(row)
 	out := l.outage("registration")
 	for ctx.Err() == nil {
--- a/entry/anvilscheduler/work.go
+++ b/entry/anvilscheduler/work.go
@@ -31,8 +31,11 @@
 	dirty  bool
 	passed anvilclock.Millis
 	// pause is the least time until the next pass.
-	pause   anvilclock.Millis
-	cleaned anvilclock.Millis
+	pause anvilclock.Millis
+	// spent are ended jobs whose submissions have not been removed yet; cleaning says that some are being.
+	spent    []string
+	cleaning bool
+	cleaned  anvilclock.Millis
 	// summarized is when the last summary was logged.
 	summarized anvilclock.Millis
 	// storeOffset is the store's clock less the loop's clock.
@@ -291,7 +294,7 @@
 			continue
 		}
 		if s, ok := l.directory.Find(r.Key()); ok && s.State().Ended() {
-			// The row is older than the job's end: the feed may lag behind announcements.
+			// The row is older than the job's end: it is removed later, and the feed may lag.
 			continue
 		}
 		sub, err := anvilstorage.ParseSubmission(r)
@@ -366,27 +369,50 @@
 	}
 }
 
-// cleanStates removes the states of jobs that ended long ago.
-func (l *Loop) cleanStates(now anvilclock.Millis) {
-	if now-l.work.cleaned < cleanEvery {
+// clean removes the submissions of jobs that have ended, and the states of jobs that ended long ago. What
+// fails is done again with the next cleaning.
+func (l *Loop) clean(now anvilclock.Millis) {
+	if now-l.work.cleaned < cleanEvery || l.work.cleaning {
 		return
 	}
 	l.work.cleaned = now
-	tx := &anvilstorage.Tx{}
-	tx.Expect(anvilstorage.Tenures, anvilstorage.TenureKey, l.tenure.row)
+	calls, fleet := anvilstorage.NewTx(anvilstorage.CallsPart), anvilstorage.NewTx(anvilstorage.FleetPart)
 	for _, s := range l.directory.Ended() {
-		if l.storeNow(now)-s.Ended() > keepEnded && l.work.jobs[s.ID()] == nil && tx.Len()+1 < anvilstorage.MaxEntries {
-			tx.Drop(anvilstorage.States, s.ID())
-			tx.Drop(anvilstorage.Intake, anvilstorage.CancelKey(s.ID()))
+		if l.storeNow(now)-s.Ended() > keepEnded && l.work.jobs[s.ID()] == nil && fleet.Len() < cleanMost {
+			calls.Drop(anvilstorage.States, s.ID())
+			fleet.Drop(anvilstorage.States, s.ID())
 		}
 	}
-	if len(tx.Drops()) == 0 || l.journal.inflight != nil {
+	n := min(len(l.work.spent), cleanMost)
+	spent := l.work.spent[:n]
+	for _, id := range spent {
+		calls.Drop(anvilstorage.Intake, id)
+		calls.Drop(anvilstorage.Intake, anvilstorage.CancelKey(id))
+	}
+	if calls.Len() == 0 {
 		return
 	}
+	l.work.spent = l.work.spent[n:]
+	l.work.cleaning = true
+	m := cleaned{token: l.tenure.token, spent: spent}
 	ctx, store := l.tenureContext(), l.store
 	l.spawn(func() {
-		if _, err := commitWithin(ctx, store, tx); err != nil {
-			l.log.Fault(anvilevent.StoreFailed, err, "during", "clean")
+		for _, tx := range []*anvilstorage.Tx{calls, fleet} {
+			if tx.Len() > 0 && m.err == nil {
+				_, m.err = commitWithin(ctx, store, tx)
+			}
 		}
+		l.post(m)
 	})
 }
+
+func (m cleaned) deliver(l *Loop) {
+	if m.token != l.tenure.token {
+		return
+	}
+	l.work.cleaning = false
+	if m.err != nil {
+		l.work.spent = append(l.work.spent, m.spent...)
+		l.log.Record(anvilevent.StoreFailed, "during", "clean", "error", m.err.Error())
+	}
+}
--- a/entry/anvilstorage/tx.go
+++ b/entry/anvilstorage/tx.go
@@ -19,6 +19,29 @@
 	Instances Table = "instances" // the entry instances and their addresses
 )
 
+// Part names a part of a table. The store carries out the transactions of a part one after another, so
+// submissions and the commits of the instance that schedules have parts of their own.
+type Part string
+
+// The parts.
+const (
+	CallsPart Part = ""      // what instances write for callers, beside the operator's rows
+	FleetPart Part = "fleet" // the chain of commits of the instance that schedules
+)
+
+// Parts returns the parts in which a table has rows. A state that the scheduling instance wrote is newer
+// than the one that came with the submission, so its part comes first.
+func (t Table) Parts() []Part {
+	switch t {
+	case Progress, Tenures:
+		return []Part{FleetPart}
+	case States:
+		return []Part{FleetPart, CallsPart}
+	default:
+		return []Part{CallsPart}
+	}
+}
+
 // Row is a row of a table. A version of 0 means that the row does not exist.
 type Row struct {
 	table   Table
@@ -56,14 +79,21 @@
 // MaxEntries is how many conditions, rows and removals a transaction may hold: the store takes 100.
 const MaxEntries = 100
 
-// Tx is a transaction: it applies whole or not at all.
+// Tx is a transaction on rows of one part: it applies whole or not at all.
 type Tx struct {
+	part    Part
 	expects []Row
 	sets    []Row
 	drops   []Row
 	policy  int64
 }
 
+// NewTx returns an empty transaction on a part.
+func NewTx(part Part) *Tx { return &Tx{part: part} }
+
+// Part returns the part.
+func (t *Tx) Part() Part { return t.part }
+
 // Expect adds the condition that a row has a version; 0 means that it must not exist.
 func (t *Tx) Expect(table Table, key string, version int64) {
 	t.expects = append(t.expects, Row{table: table, key: key, version: version})
