--- a/load/scenario_test.go
+++ b/load/scenario_test.go
@@ -31,11 +31,11 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	for _, name := range []string{"entry", "platform"} {
-		cmd := exec.Command("go", "build", "-o", filepath.Join(dir, "anvil"+name), ".")
-		cmd.Dir, cmd.Stdout, cmd.Stderr = filepath.Join("..", name), os.Stderr, os.Stderr
+	for name, folder := range map[string]string{"anvilentry": "entry", "anvilplatform": "standin"} {
+		cmd := exec.Command("go", "build", "-o", filepath.Join(dir, name), ".")
+		cmd.Dir, cmd.Stdout, cmd.Stderr = filepath.Join("..", folder), os.Stderr, os.Stderr
 		if err := cmd.Run(); err != nil {
-			fmt.Fprintf(os.Stderr, "build %s: %v\n", name, err)
+			fmt.Fprintf(os.Stderr, "build %s: %v\n", folder, err)
 			return 1
 		}
 	}
