--- a/entry/anvillink/link_test.go
+++ b/entry/anvillink/link_test.go
@@ -44,9 +44,9 @@
 	return in.Addr().String()
 }
 
-func links(t *testing.T, local Advisor) (*Links, context.Context) {
+func links(t *testing.T) (*Links, context.Context) {
 	t.Helper()
-	l := NewLinks(local)
+	l := NewLinks(advisor{})
 	t.Cleanup(l.Close)
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	t.Cleanup(cancel)
@@ -63,7 +63,7 @@
 func TestAsk(t *testing.T) {
 	t.Run("through another instance and directly", func(t *testing.T) {
 		// Guards against tickets or their validity that are lost on the way.
-		l, ctx := links(t, advisor{})
+		l, ctx := links(t)
 		addr := serve(t, advisor{}, listener{})
 		for _, to := range []string{addr, ""} {
 			advice, err := l.Ask(ctx, to, "s", []string{"w1", "w2"})
@@ -72,7 +72,7 @@
 	})
 	t.Run("a failure of the advisor is a failure", func(t *testing.T) {
 		// Guards against an advisor that does not answer and is taken to approve nobody.
-		l, ctx := links(t, advisor{})
+		l, ctx := links(t)
 		addr := serve(t, advisor{err: errors.New("no answer")}, listener{})
 		if _, err := l.Ask(ctx, addr, "s", []string{"w1"}); err == nil {
 			t.Fatal("no error")
@@ -83,7 +83,7 @@
 func TestTell(t *testing.T) {
 	t.Run("rows arrive as they were stored", func(t *testing.T) {
 		// Guards against announcements that name other versions than the store.
-		l, _ := links(t, advisor{})
+		l, _ := links(t)
 		heard := listener{rows: make(chan []anvilstorage.Row, 1)}
 		l.Tell(serve(t, advisor{}, heard), anvilstorage.ReadRow(anvilstorage.States, "j1", []byte("v"), 7, false))
 		select {
@@ -97,7 +97,7 @@
 	})
 	t.Run("never waits for an instance that is gone", func(t *testing.T) {
 		// Guards against a holder that stands still because an instance does not listen.
-		l, _ := links(t, advisor{})
+		l, _ := links(t)
 		begin := time.Now()
 		for range 10 * tellsMost {
 			l.Tell("127.0.0.1:1", anvilstorage.NewRow(anvilstorage.States, "j1", nil))
@@ -111,7 +111,7 @@
 func TestReach(t *testing.T) {
 	t.Run("tells the age of the last answer", func(t *testing.T) {
 		// Guards against an instance that takes an outage for a cut of its own, or the other way round.
-		l, ctx := links(t, advisor{})
+		l, ctx := links(t)
 		if age, err := l.Reach(ctx, serve(t, advisor{}, listener{})); err != nil || age != 42 {
 			t.Fatalf("%d, %v", age, err)
 		}
