anvilscheduler: look at waiting steps again without an event

A pass came only after an event; a question to the advisor that got no answer, or tickets that lapsed, may be tried again later, and on a quiet fleet nothing brought the pass that does. Ruled out: limits, headroom, counts of waiting tasks (by reading). Change: a pass every 150 ms while steps wait. The test failed before: a question without an answer is asked again while nothing else happens.

--- a/entry/anvilscheduler/fault_test.go
+++ b/entry/anvilscheduler/fault_test.go
@@ -314,6 +314,14 @@
 		w.pass(settleTime, r)
 		assertRunning(t, w, "j1.0.0.0")
 	})
+	t.Run("a question without an answer is asked again while nothing else happens", func(t *testing.T) {
+		// Guards against a step that stands still on an idle fleet because no event has it looked at again.
+		w, r := started(t, "w1")
+		w.unadvised = 1
+		w.submit("j1", askingQueue, teamName, anviljob.NewStep(1, core(1)))
+		w.pass(1000, r)
+		assertRunning(t, w, "j1.0.0.0")
+	})
 	t.Run("nothing is asked while there is no room", func(t *testing.T) {
 		// Guards against questions whose tickets lapse before they can be used.
 		w, r := started(t, "w1")
--- a/entry/anvilscheduler/rig_test.go
+++ b/entry/anvilscheduler/rig_test.go
@@ -25,6 +25,8 @@
 	// advice tells whether the advisor approves a worker; questions holds what it was asked.
 	advice    func(worker string) bool
 	questions [][]string
+	// unadvised is how many questions get no answer.
+	unadvised int
 }
 
 func newWorld(t testing.TB, policy *anvilpolicy.Policy) *world {
@@ -95,6 +97,10 @@
 // Ask is the advisor.
 func (w *world) Ask(_ context.Context, _, _ string, workers []string) (Advice, error) {
 	w.questions = append(w.questions, workers)
+	if w.unadvised > 0 {
+		w.unadvised--
+		return Advice{}, errDown
+	}
 	var tickets []Ticket
 	for _, id := range workers {
 		if w.advice(id) {
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -95,6 +95,9 @@
 const (
 	// passGap is the least time between two passes over the waiting steps.
 	passGap = anvilclock.Millis(8)
+	// passMost is the longest time between passes while steps wait: tickets lapse and questions may be asked
+	// again without an event.
+	passMost = anvilclock.Millis(150)
 	// stagesPerMilli stretches the time between passes when many stages wait: a pass over 600 takes 0.9 ms,
 	// and an instance has less than half of a core.
 	stagesPerMilli = 25
--- a/entry/anvilscheduler/work.go
+++ b/entry/anvilscheduler/work.go
@@ -341,6 +341,9 @@
 
 // tickWork lays out occurrences that are due and sends stops again that have shown no end.
 func (l *Loop) tickWork(now anvilclock.Millis) {
+	if len(l.work.ready) > 0 && now-l.work.passed >= passMost {
+		l.wake()
+	}
 	for j := range l.work.timed {
 		l.checkDue(j)
 	}
