--- a/entry/anvilscheduler/fault_test.go
+++ b/entry/anvilscheduler/fault_test.go
@@ -224,6 +224,20 @@
 		w.pass(settleTime, r)
 		assertState(t, w, anviljob.Completed)
 	})
+	t.Run("stops that are sent again do not postpone the end of a run that is gone", func(t *testing.T) {
+		// Guards against a task that is stopped for ever at a worker that does not have it.
+		w, r := started(t, "w1")
+		w.submit("j1", plainQueue, teamName, anviljob.NewStep(1, core(1)))
+		w.pass(settleTime, r)
+		id, _ := anviljob.ParseTaskID("j1.0.0.0")
+		task := r.loop.findTask(id)
+		task.confirmed = 0
+		for range 2 {
+			w.clock.Advance(retryStop)
+			stopAnswered{token: r.loop.tenure.token, w: task.worker, t: task, run: task.run}.deliver(r.loop)
+		}
+		assertEqual(t, "age of the confirmation", w.clock.Now()-task.confirmed, retryStop)
+	})
 	t.Run("a restarted worker's tasks start again", func(t *testing.T) {
 		// Guards against tasks that are believed to run at a worker that has forgotten them.
 		w, r := started(t, "w1")
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -337,7 +337,9 @@
 		return
 	}
 	m.w.hear(m.clock, now)
-	if m.t != nil && m.t.worker == m.w && m.t.run == m.run {
+	// The first confirmation counts: a later one would make the holds that wait meanwhile look too old to
+	// tell that the run is gone.
+	if m.t != nil && m.t.worker == m.w && m.t.run == m.run && m.t.confirmed == 0 {
 		m.t.confirmed = now
 	}
 	l.probe(m.w, now)
