anvilscheduler: use the library's comparison and one choice of a worker

Reading the whole change: cmpString wrote strings.Compare again, choose repeated the loop of chooseOn without its rack, and a time of the tenure was only written. No behaviour changes; the tests keep their assertions.

--- a/entry/anvilscheduler/adopt.go
+++ b/entry/anvilscheduler/adopt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilevent"
@@ -35,7 +36,7 @@
 		subs = append(subs, sub)
 	}
 	slices.SortFunc(subs, func(a, b *anviljob.Submission) int {
-		return cmp.Or(cmp.Compare(a.At(), b.At()), cmpString(a.ID(), b.ID()))
+		return cmp.Or(cmp.Compare(a.At(), b.At()), strings.Compare(a.ID(), b.ID()))
 	})
 	for _, sub := range subs {
 		l.admit(sub)
--- a/entry/anvilscheduler/ask.go
+++ b/entry/anvilscheduler/ask.go
@@ -1,6 +1,8 @@
 package anvilscheduler
 
 import (
+	"strings"
+
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilevent"
@@ -79,7 +81,7 @@
 		if now < k.rest || (k.calls > 0 && k.load+cost > askAhead) {
 			continue
 		}
-		if best == nil || k.load < best.load || (k.load == best.load && cmpString(k.instance.Name(), best.instance.Name()) < 0) {
+		if best == nil || k.load < best.load || (k.load == best.load && strings.Compare(k.instance.Name(), best.instance.Name()) < 0) {
 			best = k
 		}
 	}
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilchart"
@@ -256,20 +257,10 @@
 	for _, w := range f.byID {
 		out = append(out, w)
 	}
-	slices.SortFunc(out, func(a, b *worker) int { return cmpString(a.id(), b.id()) })
+	slices.SortFunc(out, func(a, b *worker) int { return strings.Compare(a.id(), b.id()) })
 	return out
 }
 
-func cmpString(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // tickFleet sends the holds that are due and ends runs whose leases have lapsed.
 func (l *Loop) tickFleet(now anvilclock.Millis) {
 	for _, w := range l.fleet.byID {
--- a/entry/anvilscheduler/pass.go
+++ b/entry/anvilscheduler/pass.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilevent"
@@ -96,7 +97,7 @@
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.urgency.band, b.urgency.band), cmp.Compare(a.urgency.latest, b.urgency.latest),
-			cmpString(a.s.job.id(), b.s.job.id()), cmp.Compare(a.s.index, b.s.index))
+			strings.Compare(a.s.job.id(), b.s.job.id()), cmp.Compare(a.s.index, b.s.index))
 	})
 	return list
 }
@@ -252,18 +253,7 @@
 // choose returns the best worker for a task; nil when none is fit. Without tickets, every worker that the
 // advisor has approved counts.
 func (p *placing) choose(c candidate, t *task, ticketed bool) *worker {
-	var best *worker
-	var bestScore int64
-	for _, w := range p.loop.fleet.pools[c.queue.Pool()] {
-		if !p.fits(c, w, ticketed) {
-			continue
-		}
-		score := p.score(c.s, t, w)
-		if best == nil || score < bestScore {
-			best, bestScore = w, score
-		}
-	}
-	return best
+	return p.chooseOn(c, t, ticketed, "")
 }
 
 // fits reports whether a worker may take one more task of a stage.
@@ -400,6 +390,7 @@
 	return slices.Clone(plan)
 }
 
+// chooseOn returns the best worker of a rack, or of all when the rack is empty.
 func (p *placing) chooseOn(c candidate, t *task, ticketed bool, rack string) *worker {
 	var best *worker
 	var bestScore int64
@@ -426,7 +417,7 @@
 	for label := range counts {
 		out = append(out, label)
 	}
-	slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(counts[b], counts[a]), cmpString(a, b)) })
+	slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(counts[b], counts[a]), strings.Compare(a, b)) })
 	return out
 }
 
@@ -456,7 +447,7 @@
 	if len(slots) < len(s.tasks) {
 		return nil
 	}
-	slices.SortFunc(slots, func(a, b slot) int { return cmp.Or(cmp.Compare(a.at, b.at), cmpString(a.w.id(), b.w.id())) })
+	slices.SortFunc(slots, func(a, b slot) int { return cmp.Or(cmp.Compare(a.at, b.at), strings.Compare(a.w.id(), b.w.id())) })
 	p.reserved++
 	out := make([]*worker, 0, len(s.tasks))
 	for _, sl := range slots[:len(s.tasks)] {
--- a/entry/anvilscheduler/rig_test.go
+++ b/entry/anvilscheduler/rig_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"anvilhold.org/entry/anvilstorage"
@@ -200,7 +201,7 @@
 			rows = append(rows, r)
 		}
 	}
-	slices.SortFunc(rows, func(a, b anvilstorage.Row) int { return cmpString(a.Key(), b.Key()) })
+	slices.SortFunc(rows, func(a, b anvilstorage.Row) int { return strings.Compare(a.Key(), b.Key()) })
 	return anvilstorage.NewPage(rows, s.version, s.world.clock.Now()), nil
 }
 
--- a/entry/anvilscheduler/tenure.go
+++ b/entry/anvilscheduler/tenure.go
@@ -25,7 +25,6 @@
 	token int64
 	// renewed is when the last applied commit was sent.
 	renewed anvilclock.Millis
-	began   anvilclock.Millis
 	// ctx and cancel end the effects of this tenure.
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -187,7 +186,6 @@
 
 func (l *Loop) begin() {
 	now := l.clock.Now()
-	l.tenure.began = now
 	l.scheduling.Store(true)
 	l.publish()
 	l.work.dirty = true
--- a/entry/anvilscheduler/work.go
+++ b/entry/anvilscheduler/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"strings"
 
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilchart"
@@ -154,7 +155,7 @@
 )
 
 func compareTasks(a, b *task) int {
-	return cmp.Or(cmpString(a.id.Job(), b.id.Job()), cmp.Compare(a.id.Occurrence(), b.id.Occurrence()),
+	return cmp.Or(strings.Compare(a.id.Job(), b.id.Job()), cmp.Compare(a.id.Occurrence(), b.id.Occurrence()),
 		cmp.Compare(a.id.Step(), b.id.Step()), cmp.Compare(a.id.Index(), b.id.Index()))
 }
 
