anvilscheduler: drop fields of messages that nothing reads

Reading the whole change: times of starts, stops and holds, and a flag of intake readings, were filled in and never looked at. No behaviour changes.

--- a/entry/anvilscheduler/fault_test.go
+++ b/entry/anvilscheduler/fault_test.go
@@ -146,7 +146,7 @@
 		w.end("j1.0.0.0", CauseDone, "")
 		w.pass(settleTime, r)
 		assertState(t, w, anviljob.Completed)
-		r.loop.post(intakeRead{token: r.loop.tenure.token, page: old, whole: true})
+		r.loop.post(intakeRead{token: r.loop.tenure.token, page: old})
 		r.loop.Announce(old.Rows())
 		w.pass(settleTime, r)
 		assertRunning(t, w)
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -318,7 +318,7 @@
 		ctx, cancel := withTimeout(ctx, o.wait+orderTimeout)
 		defer cancel()
 		report, err := workers.Hold(ctx, to, o)
-		l.post(held{token: token, w: w, sent: now, until: o.until, seen: o.seen, report: report, err: err})
+		l.post(held{token: token, w: w, sent: now, seen: o.seen, report: report, err: err})
 	})
 }
 
--- a/entry/anvilscheduler/messages.go
+++ b/entry/anvilscheduler/messages.go
@@ -57,7 +57,6 @@
 type intakeRead struct {
 	token int64
 	page  anvilstorage.Page
-	whole bool
 }
 
 // announced holds rows of the intake table ahead of the feed.
@@ -90,8 +89,6 @@
 	w     *worker
 	t     *task
 	run   int
-	sent  anvilclock.Millis
-	until anvilclock.Millis
 	clock anvilclock.Millis
 	err   error
 }
@@ -102,7 +99,6 @@
 	w     *worker
 	t     *task
 	run   int
-	sent  anvilclock.Millis
 	clock anvilclock.Millis
 	err   error
 }
@@ -122,7 +118,6 @@
 	token  int64
 	w      *worker
 	sent   anvilclock.Millis
-	until  anvilclock.Millis
 	seen   int64
 	report Report
 	err    error
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -239,7 +239,7 @@
 	}
 	w.promise(o.until, now)
 	t.moved = now
-	m := startAnswered{token: l.tenure.token, w: w, t: t, run: t.run, sent: now, until: o.until}
+	m := startAnswered{token: l.tenure.token, w: w, t: t, run: t.run}
 	ctx, workers, to := l.tenureContext(), l.workers, w.target()
 	l.spawn(func() {
 		ctx, cancel := withTimeout(ctx, orderTimeout)
@@ -317,7 +317,7 @@
 	if w.listed.addr == "" || !l.mayHold(now) {
 		return
 	}
-	m := stopAnswered{token: l.tenure.token, w: w, t: t, run: o.run, sent: now}
+	m := stopAnswered{token: l.tenure.token, w: w, t: t, run: o.run}
 	ctx, workers, to := l.tenureContext(), l.workers, w.target()
 	l.spawn(func() {
 		ctx, cancel := withTimeout(ctx, orderTimeout)
--- a/entry/anvilscheduler/watch.go
+++ b/entry/anvilscheduler/watch.go
@@ -194,8 +194,8 @@
 		return
 	}
 	ctx, token := l.tenureContext(), m.token
-	go l.watchTable(ctx, anvilstorage.Intake, m.intake.Version(), feedGap, func(page anvilstorage.Page, whole bool) {
-		l.post(intakeRead{token: token, page: page, whole: whole})
+	go l.watchTable(ctx, anvilstorage.Intake, m.intake.Version(), feedGap, func(page anvilstorage.Page, _ bool) {
+		l.post(intakeRead{token: token, page: page})
 	})
 	go l.watchTable(ctx, anvilstorage.Instances, m.instances.Version(), readRetry, func(page anvilstorage.Page, _ bool) {
 		l.post(instancesRead{token: token, page: page})
