--- a/entry/anvilcontrol/batch.go
+++ b/entry/anvilcontrol/batch.go
@@ -288,29 +288,31 @@
 		delete(s.acceptedTasks, id)
 		l.resumeJob(s, j)
 	}
-	s.adoptedRuns, s.endedTasks = nil, nil
+	s.adoptedRuns, s.formerEnds = nil, nil
 }
 
 func (l *Loop) resumeJob(s *shard, j *job) {
-	runs := s.adoptedRuns[j.task.ID()]
-	if len(runs) > 0 {
-		l.attachRuns(j, runs)
+	id := j.task.ID()
+	if runs := s.adoptedRuns[id]; len(runs) > 0 {
+		l.attachRuns(j, runs, s.doneMembers(id, startOf(runs[0].id)))
 		return
 	}
-	e, ended := s.endedTasks[j.task.ID()]
-	o := reportedOutcomes[e.state]
+	e, ended := s.lastEnd(id)
 	switch {
-	case ended && j.task.Count() == 1 && (o == outcomeDone || o == outcomeFailed):
+	case ended && j.task.Count() == 1 && (e.outcome == outcomeDone || e.outcome == outcomeFailed):
 		j.code = anvilerror.Code(e.code)
 		l.fireTask(j, "place")
-		l.fireTask(j, string(o))
-	case j.task.NonIdempotent() && (ended && o != outcomeNotRun || l.mayHaveRun(s, j)):
+		l.fireTask(j, string(e.outcome))
+	case ended && j.task.Count() > 1 && s.doneMembers(id, startOf(e.run)) == j.task.Count():
+		l.fireTask(j, "place")
+		l.fireTask(j, string(outcomeDone))
+	case j.task.NonIdempotent() && (ended && e.outcome != outcomeNotRun || l.mayHaveRun(s, j)):
 		j.code, j.reason = anvilerror.Lost, "an earlier owner may have started the task"
 		l.fireTask(j, "place")
 		l.fireTask(j, string(outcomeLost))
 	default:
-		if o == outcomeCheckpointed {
-			j.checkpoint = checkpointOf(e.id)
+		if e.outcome == outcomeCheckpointed && j.task.Count() == 1 {
+			j.checkpoint = checkpointOf(e.run)
 		}
 		l.enqueue(j)
 	}
@@ -321,10 +323,11 @@
 	return anviltask.IDTime(j.task.ID()) <= s.recordGap
 }
 
-// attachRuns connects a job with the runs that an earlier owner started. A gang job with missing runs is stopped as a
-// whole.
-func (l *Loop) attachRuns(j *job, runs []*run) {
+// attachRuns connects a job with the runs that an earlier owner started. Done is the number of other tasks of the same
+// gang that have ended as done. A gang job with missing runs is stopped as a whole.
+func (l *Loop) attachRuns(j *job, runs []*run, done int) {
 	j.runs = slices.Clone(runs)
+	l.adoptedJobs[j.task.ID()] = j
 	l.fireTask(j, "place")
 	for _, r := range runs {
 		r.job, r.workspace = j, ""
@@ -333,8 +336,8 @@
 		l.fireTask(j, "running")
 		return
 	}
-	j.goSent = slices.ContainsFunc(runs, func(r *run) bool { return r.machine.State() != runHeld })
-	if len(runs) < j.task.Count() {
+	j.goSent = done > 0 || slices.ContainsFunc(runs, func(r *run) bool { return r.machine.State() != runHeld })
+	if len(runs)+done < j.task.Count() {
 		j.abortOutcome = outcomeStopped
 		l.stopRuns(j)
 		return
--- a/entry/anvilcontrol/job.go
+++ b/entry/anvilcontrol/job.go
@@ -371,6 +371,7 @@
 // with their rows. It also retries parked tasks.
 func (l *Loop) sweepJobs() {
 	l.retryParked()
+	l.checkAdopted()
 	now := l.clock.Now()
 	n := 0
 	for _, j := range l.endedJobs {
--- a/entry/anvilcontrol/loop.go
+++ b/entry/anvilcontrol/loop.go
@@ -77,6 +77,7 @@
 	shards         map[string]*shard
 	workers        map[string]*worker
 	jobs           map[string]*job
+	adoptedJobs    map[string]*job // jobs that run under an earlier owner's starts
 	endedJobs      []*job
 	feeds          []*feed
 	timers         timers
@@ -161,7 +162,7 @@
 		health:            anvilworker.NewHealth(),
 		routes:            anvilroute.New(self.instance, self.domain, self.region, anvilshard.Seed(self.instance)),
 		registeredByShard: map[string][]Registration{}, poolKnownSince: map[string]anvilclock.Millis{}, registrations: map[string]Registration{}, pools: map[string]poolSizes{},
-		shards: map[string]*shard{}, workers: map[string]*worker{}, jobs: map[string]*job{},
+		shards: map[string]*shard{}, workers: map[string]*worker{}, jobs: map[string]*job{}, adoptedJobs: map[string]*job{},
 		feeds: newFeeds(), demand: map[demandKey]anvilsize.Size{}, calls: newCalls(),
 	}
 	for _, opt := range opts {
--- a/entry/anvilcontrol/run.go
+++ b/entry/anvilcontrol/run.go
@@ -246,10 +246,13 @@
 			r.setEnd(outcomeLost, string(anvilerror.Lost), "the worker's process has exited or its lease has expired", nil)
 		}
 		l.recordHealth(r)
-		if r.job != nil {
+		switch {
+		case r.job != nil:
 			l.handleRunEnd(r)
-		} else if r.once && r.kind == anviltask.Call {
+		case r.once && r.kind == anviltask.Call:
 			l.recordOrphan(r)
+		default:
+			r.worker.shard.endAdopted(r)
 		}
 	}
 }
@@ -301,8 +304,7 @@
 	}
 	switch {
 	case m.err != nil && m.err.Outcome() == anvilerror.NotRun:
-		r.setEnd(outcomeNotRun, string(m.err.Code()), m.err.Reason(), nil)
-		l.fireRun(r, "refused")
+		l.refuseRun(r, string(m.err.Code()), m.err.Reason())
 	case m.err != nil && r.reportedEnd != nil:
 		l.endReported(r, *r.reportedEnd)
 	case m.err != nil:
@@ -319,8 +321,7 @@
 			r.worker.renewAt = 0
 			l.fireWorker(r.worker, "silent")
 		}
-		r.setEnd(outcomeNotRun, m.code, m.reason, nil)
-		l.fireRun(r, "refused")
+		l.refuseRun(r, m.code, m.reason)
 	case reportedOutcomes[m.state] != "":
 		r.setEnd(reportedOutcomes[m.state], m.code, m.reason, m.answer)
 		l.fireRun(r, "ended")
@@ -350,8 +351,7 @@
 		r.setEnd(outcomeLost, string(anvilerror.Lost), "the worker's process was replaced", nil)
 		l.fireRun(r, "gone")
 	case m.state == reportNotRun:
-		r.setEnd(outcomeNotRun, m.code, "the worker refused the start", nil)
-		l.fireRun(r, "refused")
+		l.refuseRun(r, m.code, "the worker refused the start")
 	case reportedOutcomes[m.state] != "" && (!r.startInFlight || m.state != reportDone):
 		r.setEnd(reportedOutcomes[m.state], m.code, "", m.answer)
 		l.fireRun(r, "ended")
@@ -373,23 +373,31 @@
 }
 
 func (l *Loop) endReported(r *run, e EndedTask) {
-	r.setEnd(reportedOutcomes[e.state], e.code, "", e.answer)
-	if r.outcome == outcomeNotRun {
-		l.fireRun(r, "refused")
+	if e.state == reportNotRun {
+		l.refuseRun(r, e.code, "")
 		return
 	}
+	r.setEnd(reportedOutcomes[e.state], e.code, "", e.answer)
 	l.fireRun(r, "ended")
 }
 
+// refuseRun ends a run whose start the worker refused. A run that the worker has reported as running isn't refused any
+// more: if it is no longer there, the next fence ends it as lost.
+func (l *Loop) refuseRun(r *run, code, reason string) {
+	if r.machine.State() == runRunning {
+		return
+	}
+	r.setEnd(outcomeNotRun, code, reason, nil)
+	l.fireRun(r, "refused")
+}
+
 // adoptEnded records a task that ended under an earlier owner.
 func (l *Loop) adoptEnded(w *worker, e EndedTask) {
 	s := w.shard
 	if e.once {
 		l.recordEnded(s, e)
 	}
-	if !s.reconciled && s.endedTasks != nil {
-		s.endedTasks[taskID(e.id)] = e
-	}
+	s.addFormerEnd(formerEnd{run: e.id, outcome: reportedOutcomes[e.state], code: e.code})
 }
 
 // recordHealth counts the end of a run for the health of its worker, and quarantines a worker that fails too often.
--- a/entry/anvilcontrol/shard.go
+++ b/entry/anvilcontrol/shard.go
@@ -33,13 +33,13 @@
 	// callsInFlight counts the starts of service requests that workers haven't answered.
 	callsInFlight int
 	// acceptedTasks holds the accepted tasks that the table lists for the shard, until every worker has reported its
-	// runs. Meanwhile adoptedRuns holds the runs that workers have reported, by task, and endedTasks the tasks that they
-	// have reported as ended.
+	// runs. Meanwhile adoptedRuns holds the runs that workers have reported, by task, and formerEnds the ends of runs that
+	// they have reported, also of runs that were adopted before.
 	acceptedTasks map[string]anvilrow.Task
 	tasksRead     bool
 	readingTasks  bool
 	adoptedRuns   map[string][]*run
-	endedTasks    map[string]EndedTask
+	formerEnds    map[string][]formerEnd
 	reconciled    bool
 	// escrowReady is set when the shard's allocations of team limits may be used: a fence was tried at every worker,
 	// and the allocations were read after the shard was acquired.
@@ -233,7 +233,7 @@
 	s.workers = map[string]*worker{}
 	s.acceptedTasks = map[string]anvilrow.Task{}
 	s.adoptedRuns = map[string][]*run{}
-	s.endedTasks = map[string]EndedTask{}
+	s.formerEnds = map[string][]formerEnd{}
 	s.tasksRead, s.readingTasks, s.reconciled, s.callsInFlight = false, false, false, 0
 	s.updatingMembers = false
 	row, _ := l.directory.Shard(s.name)
@@ -292,7 +292,7 @@
 			l.detachJob(j)
 		}
 	}
-	s.workers, s.acceptedTasks, s.adoptedRuns, s.endedTasks = nil, nil, nil, nil
+	s.workers, s.acceptedTasks, s.adoptedRuns, s.formerEnds = nil, nil, nil, nil
 	l.passDue = true
 }
 
