--- a/entry/anvillistener/server.go
+++ b/entry/anvillistener/server.go
@@ -52,6 +52,7 @@
 	onReject           func()
 	certs              Certificates
 	engine             *nbhttp.Engine
+	descriptors        descriptors
 	listener           net.Listener
 	acceptLoop         sync.WaitGroup
 	tls                *tls.Config
@@ -128,10 +129,13 @@
 		s.tls = tlsConfig(s.certs)
 	}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Network: "tcp", Handler: s.trackBusy(handler), MaxHTTPBodySize: s.maxBody + 1, ReadLimit: s.maxBody + s.maxHeaders + parserOverhead,
+		Network: "tcp", NPoller: 1, Handler: s.trackBusy(handler), MaxHTTPBodySize: s.maxBody + 1, ReadLimit: s.maxBody + s.maxHeaders + parserOverhead,
 		MessageHandlerPoolSize: s.maxInFlight + spareHandlers, KeepaliveTime: s.idleTimeout, WriteTimeout: writeTimeout,
 	})
-	s.engine.OnClose(func(c net.Conn, _ error) { s.unregister(c) })
+	s.engine.OnClose(func(c net.Conn, err error) {
+		s.descriptors.closed(c, err)
+		s.unregister(c)
+	})
 	return s
 }
 
@@ -144,6 +148,10 @@
 	if err := s.engine.Start(); err != nil {
 		return errors.Join(err, s.listener.Close())
 	}
+	if err := s.descriptors.open(s.engine); err != nil {
+		s.engine.Stop()
+		return errors.Join(err, s.listener.Close())
+	}
 	s.acceptLoop.Add(1)
 	go func() {
 		defer s.acceptLoop.Done()
@@ -185,6 +193,7 @@
 		_ = raw.Close()
 		return
 	}
+	s.descriptors.use(c)
 	if s.tls != nil {
 		s.register(c)
 		s.serveTLS(c)
@@ -291,7 +300,7 @@
 	case <-ctx.Done():
 	}
 	s.engine.Stop()
-	return err
+	return errors.Join(err, s.descriptors.close())
 }
 
 // idleConns marks the server as stopped and returns the connections that were not used for minIdleTime.
--- a/standin/anvilapi/server.go
+++ b/standin/anvilapi/server.go
@@ -4,13 +4,11 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/lesismal/nbio/logging"
-	"github.com/lesismal/nbio/nbhttp"
+	"anvilhold.org/entry/anvillistener"
 )
 
 const (
@@ -20,53 +18,37 @@
 	// bodyMargin is by how much the body limit of nbhttp is above the largest body of a handler. nbhttp closes the
 	// connection for a body above its limit; within the margin the handler can respond with status 413.
 	bodyMargin = 1 << 20
+	maxHeaders = 64 << 10
+	maxConns   = 8192
 	// idleTimeout is longer than the poll interval of clients, so that they can reuse their connections.
 	idleTimeout = 2 * time.Minute
 )
 
-// Server is an HTTP server on nbhttp.
+// Server is an HTTP server.
 type Server struct {
-	engine   *nbhttp.Engine
-	addr     string
-	requests *requestTracker
+	listener *anvillistener.Server
 }
 
 // Serve starts a server on addr and returns when it listens. A port of 0 selects a free one.
 func Serve(addr string, handler http.Handler) (*Server, error) {
-	logging.SetLevel(logging.LevelError)
-	s := &Server{requests: newRequestTracker(handler)}
-	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Name:                   "anvilplatform",
-		Network:                "tcp",
-		Addrs:                  []string{addr},
-		Handler:                s.requests,
-		NPoller:                2,
-		MaxHTTPBodySize:        maxCommitBody + bodyMargin,
-		MessageHandlerPoolSize: maxHandlers,
-		KeepaliveTime:          idleTimeout,
-		Listen: func(network, addr string) (net.Listener, error) {
-			l, err := net.Listen(network, addr)
-			if err == nil {
-				s.addr = l.Addr().String()
-			}
-			return l, err
-		},
-	})
-	if err := s.engine.Start(); err != nil {
+	requests := newRequestTracker(handler)
+	s := &Server{listener: anvillistener.New(addr, requests,
+		anvillistener.WithSizeLimits(maxCommitBody+bodyMargin, maxHeaders),
+		anvillistener.WithConnLimits(maxConns, maxHandlers),
+		anvillistener.WithIdle(idleTimeout),
+		anvillistener.WithDrain(requests.wait))}
+	if err := s.listener.Start(); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
 // Addr returns the address that the server listens on, with the port that was selected.
-func (s *Server) Addr() string { return s.addr }
+func (s *Server) Addr() string { return s.listener.Addr() }
 
 // Shutdown waits until the requests in progress have been answered, then closes the connections and stops the server. It
 // stops waiting when ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.requests.wait(ctx)
-	return s.engine.Shutdown(ctx)
-}
+func (s *Server) Shutdown(ctx context.Context) error { return s.listener.Stop(ctx) }
 
 // requestTracker counts the requests in progress.
 type requestTracker struct {
@@ -96,11 +78,11 @@
 }
 
 // wait blocks until no request is in progress or ctx ends.
-func (t *requestTracker) wait(ctx context.Context) {
+func (t *requestTracker) wait(ctx context.Context) error {
 	t.mu.Lock()
 	if t.n == 0 {
 		t.mu.Unlock()
-		return
+		return nil
 	}
 	if t.idle == nil {
 		t.idle = make(chan struct{})
@@ -111,4 +93,5 @@
 	case <-idle:
 	case <-ctx.Done():
 	}
+	return nil
 }
