--- a/entry/anvilcontrol/fake_test.go
+++ b/entry/anvilcontrol/fake_test.go
@@ -62,8 +62,8 @@
 	return n
 }
 
-func (c *cell) addWorker(id, domain, pool string, size anvilsize.Size) {
-	w := &fakeWorker{cell: c, id: id, domain: domain, pool: pool, boot: id + "-1", size: size}
+func (c *cell) addWorker(id, domain string, size anvilsize.Size) {
+	w := &fakeWorker{cell: c, id: id, domain: domain, pool: "layout", boot: id + "-1", size: size}
 	w.reset()
 	c.workers[id] = w
 }
--- a/entry/anvilcontrol/guarantee_test.go
+++ b/entry/anvilcontrol/guarantee_test.go
@@ -87,7 +87,7 @@
 	c := newCell(t)
 	first, second := c.addNode("e1", "d1"), c.addNode("e2", "d2")
 	for _, id := range []string{"w1", "w2", "w3", "w4"} {
-		c.addWorker(id, "d"+id[1:], "layout", smallWorker)
+		c.addWorker(id, "d"+id[1:], smallWorker)
 	}
 	c.contract(anvilsize.New(16000, 32768, 0))
 	c.runWithReplies(8000)
--- a/entry/anvilcontrol/takeover_test.go
+++ b/entry/anvilcontrol/takeover_test.go
@@ -24,7 +24,7 @@
 	c.addNode("e1", "d1")
 	c.addNode("e2", "d1")
 	for _, id := range []string{"w1", "w2", "w3", "w4", "w5", "w6"} {
-		c.addWorker(id, "d1", "layout", smallWorker)
+		c.addWorker(id, "d1", smallWorker)
 	}
 	c.contract(anvilsize.New(48_000, 98_304, 0))
 	c.runWithReplies(8000)
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -201,6 +201,14 @@
 		}
 		return
 	}
+	if reg.unreadable {
+		if w != nil && w.deregisteredAt == 0 {
+			l.log.Record(anvilevent.WorkerDeregistered, "worker", w.id(), "draining", w.registration.draining, "tasks", len(w.tasks))
+			w.deregisteredAt = now
+			l.holdIfDue(w, now)
+		}
+		return
+	}
 	if w != nil && w.registration.incarnation != reg.incarnation && w.registration.incarnation != 0 {
 		l.replaceIncarnation(w, reg)
 		return
@@ -228,12 +236,13 @@
 	w.registration = reg
 }
 
-// applyDeregistration records that a worker is no longer registered. A draining worker has left, and its runs have
-// ended. Any other worker may still run, and be partitioned from the platform's store.
+// applyDeregistration records that a worker is no longer registered. It may still run, and be partitioned from the
+// platform's store: also a draining worker, whose runs count as ended only once nothing accepts connections at its address,
+// or their leases have expired.
 func (l *Loop) applyDeregistration(w *worker, now anvilclock.Millis) {
 	w.deregisteredAt = now
 	l.log.Record(anvilevent.WorkerDeregistered, "worker", w.id(), "draining", w.registration.draining, "tasks", len(w.tasks))
-	if w.registration.draining {
+	if w.registration.draining && len(w.tasks) == 0 {
 		l.retire(w, "left")
 		return
 	}
@@ -434,7 +443,11 @@
 		l.retire(w, "another worker answers")
 	case FaultUnavailable:
 		w.backoffUntil = now + unavailableBackoff
-	case FaultNoReply, FaultInvalid:
+	case FaultNoReply, FaultInvalid, FaultRefused:
+		if e.fault == FaultRefused && w.deregisteredAt != 0 && w.registration.draining {
+			l.retire(w, "left")
+			return
+		}
 		w.failures++
 		if w.failures >= unresponsiveAfter {
 			l.fireWorker(w, "silent")
--- a/entry/anvilscheduler/harness_test.go
+++ b/entry/anvilscheduler/harness_test.go
@@ -229,8 +229,9 @@
 	ends         []RunEnd
 	lastEnd      int64
 	starts       int
-	// unreachable loses all orders. loseAnswers carries orders out and loses the answers. ignoreStops confirms stops
+	// exited means that nothing accepts connections. unreachable loses all orders. loseAnswers carries orders out and loses the answers. ignoreStops confirms stops
 	// without ending the run. startFault, unless empty, refuses starts.
+	exited      bool
 	unreachable bool
 	loseAnswers bool
 	ignoreStops bool
@@ -281,6 +282,9 @@
 // admitOrder makes the checks that precede every order, and records the fencing token.
 func (fc *fakeCluster) admitOrder(to Target, token int64) (*fakeWorker, error) {
 	fw := fc.workers[to.ID()]
+	if fw != nil && fw.exited {
+		return nil, NewOrderError(FaultRefused, 0, errDown)
+	}
 	if fw == nil || fw.unreachable {
 		return nil, NewOrderError(FaultNoReply, 0, errDown)
 	}
--- a/entry/anvilscheduler/interfaces.go
+++ b/entry/anvilscheduler/interfaces.go
@@ -71,6 +71,7 @@
 	draining    bool
 	remaining   anvilclock.Millis
 	removed     bool
+	unreadable  bool
 }
 
 // NewRegistration returns an entry. The incarnation is the start time of the worker's process; 0 stands for unknown.
@@ -81,6 +82,13 @@
 // NewDeregistration returns the removal of a worker's entry.
 func NewDeregistration(id string) Registration { return Registration{id: id, removed: true} }
 
+// NewUnreadable returns an entry that can't be read. It names no worker to use, and it doesn't show that the worker with
+// its id has left.
+func NewUnreadable(id string) Registration { return Registration{id: id, unreadable: true} }
+
+// Unreadable reports whether the entry can't be read.
+func (r Registration) Unreadable() bool { return r.unreadable }
+
 // Draining returns a copy of the entry that is marked as draining: the worker gets no new work, and does not leave
 // before remaining has passed.
 func (r Registration) Draining(remaining anvilclock.Millis) Registration {
@@ -97,6 +105,9 @@
 // ID returns the worker's id, which does not change when its process is restarted.
 func (r Registration) ID() string { return r.id }
 
+// Capacity returns the capacity of the worker.
+func (r Registration) Capacity() anvilsize.Size { return r.capacity }
+
 // WorkerPage is the result of reading the worker registry at a version: all entries, or those that have changed.
 type WorkerPage struct {
 	entries []Registration
@@ -331,6 +342,7 @@
 	FaultInvalid     Fault = "invalid"  // the worker can't decode the order
 	FaultReplaced    Fault = "replaced" // another worker answers at the address
 	FaultUnavailable Fault = "unwell"   // the worker temporarily refuses orders
+	FaultRefused     Fault = "refused"  // nothing accepts connections at the worker's address
 	FaultNoReply     Fault = "silent"   // no answer: the order may have been carried out, or may still be
 )
 
