--- a/entry/anvilfront/serve.go
+++ b/entry/anvilfront/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 
 	"anvilhold.org/lib/anvilerror"
 )
@@ -21,7 +22,7 @@
 			out = f.handle(r, h)
 			<-f.inFlight
 		default:
-			out = errorReply(f.overloaded())
+			out = f.refuseUnhandled(r, f.overloaded())
 			out.status = http.StatusServiceUnavailable
 		}
 		if f.Leaving() {
@@ -34,11 +35,31 @@
 
 func (f *Front) handle(r *http.Request, h handler) reply {
 	if n := headerBytes(r); n > f.maxHeaders {
-		return errorReply(tooLarge("the headers are too long"))
+		return f.refuseUnhandled(r, tooLarge("the headers are too long"))
 	}
 	return h(r)
 }
 
+// Routes of requests that run something.
+const (
+	callPath = "/v1/call/"
+	taskPath = "/v1/tasks"
+)
+
+// refuseUnhandled returns the refusal of a request that reaches no handler. The outcome of one that may have been sent
+// before is unknown.
+func (f *Front) refuseUnhandled(r *http.Request, err *anvilerror.Error) reply {
+	switch {
+	case r.Method == http.MethodPost && strings.HasPrefix(r.URL.Path, callPath):
+		return requestErrorReply(err, r)
+	case r.Method == http.MethodPost && r.URL.Path == taskPath:
+		spec, _ := f.readSpec(r)
+		return specErrorReply(err, spec)
+	default:
+		return errorReply(err)
+	}
+}
+
 func headerBytes(r *http.Request) int {
 	n := len(r.RequestURI)
 	for name, values := range r.Header {
--- a/entry/anvilfront/tasks.go
+++ b/entry/anvilfront/tasks.go
@@ -26,24 +26,20 @@
 )
 
 func (f *Front) submitTask(r *http.Request) reply {
+	spec, specErr := f.readSpec(r)
 	c, err := f.authenticate(r)
 	if err != nil {
-		return errorReply(err)
+		return specErrorReply(err, spec)
 	}
 	if c.operator {
-		return errorReply(anvilerror.Refuse(anvilerror.Forbidden, "an operator's key can't be used to run tasks"))
-	}
-	body, err := f.readBody(r)
-	if err != nil {
-		return errorReply(err)
+		return specErrorReply(anvilerror.Refuse(anvilerror.Forbidden, "an operator's key can't be used to run tasks"), spec)
 	}
-	var spec anvilwire.Spec
-	if err := protojson.Unmarshal(body, &spec); err != nil {
-		return errorReply(badInput(err.Error()))
+	if specErr != nil {
+		return errorReply(specErr)
 	}
-	t, err := f.parseSpec(&spec, c)
+	t, err := f.parseSpec(spec, c)
 	if err != nil {
-		return errorReply(err).withID(spec.GetId())
+		return specErrorReply(err, spec).withID(spec.GetId())
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), f.queryTimeout)
 	defer cancel()
@@ -62,6 +58,29 @@
 	}
 }
 
+// readSpec decodes the body of a submission.
+func (f *Front) readSpec(r *http.Request) (*anvilwire.Spec, *anvilerror.Error) {
+	body, err := f.readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	var spec anvilwire.Spec
+	if err := protojson.Unmarshal(body, &spec); err != nil {
+		return nil, badInput(err.Error())
+	}
+	return &spec, nil
+}
+
+// specErrorReply returns the reply to a submission that failed before its task was made. The spec is nil when it can't be
+// decoded.
+func specErrorReply(err *anvilerror.Error, spec *anvilwire.Spec) reply {
+	if anviltask.CheckID(spec.GetId()) != nil {
+		return errorReply(err)
+	}
+	return taskErrorReply(err, anviltask.New(spec.GetId(), anviltask.Batch, "", anviltask.WithNonIdempotent(spec.GetOnce()),
+		anviltask.WithFirstAttempt(spec.GetFirst())))
+}
+
 func (f *Front) parseSpec(m *anvilwire.Spec, c caller) (*anviltask.Task, *anvilerror.Error) {
 	id, err := f.checkID(m.GetId(), m.GetOnce())
 	if err != nil {
--- a/entry/anvilfront/tasks_test.go
+++ b/entry/anvilfront/tasks_test.go
@@ -180,3 +180,37 @@
 		t.Fatalf("cell %v", m)
 	}
 }
+
+// Guards against "not run" for a submission that is sent again with a key that was withdrawn meanwhile, or to an instance
+// that is overloaded: the first one may have been accepted.
+func TestResentTaskRefused(t *testing.T) {
+	id := idAt(newHarness().clock.Unix())
+	spec := func(more string) string { return `{"id":"` + id + `","pool":"layout"` + more + `}` }
+	for name, c := range map[string]struct {
+		spec, key string
+		status    int
+		want      anvilerror.Outcome
+		code      anvilerror.Code
+	}{
+		"withdrawn key":                {spec(`,"once":true`), "nobody", 401, anvilerror.Unknown, anvilerror.BadKey},
+		"withdrawn key, first attempt": {spec(`,"once":true,"first":true`), "nobody", 401, anvilerror.NotRun, anvilerror.BadKey},
+		"withdrawn key, idempotent":    {spec(""), "nobody", 401, anvilerror.NotRun, anvilerror.BadKey},
+		"operator's key":               {spec(`,"once":true`), operatorKey, 403, anvilerror.Unknown, anvilerror.Forbidden},
+		"invalid spec":                 {spec(`,"once":true,"run":-1`), teamKey, 400, anvilerror.Unknown, anvilerror.BadInput},
+		"undecodable spec":             {`{"id":`, teamKey, 400, anvilerror.NotRun, anvilerror.BadInput},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness()
+			assertReply(t, h.do("POST", "/v1/tasks", c.spec, authHeader(c.key)...), c.status, c.want, c.code)
+		})
+	}
+	t.Run("overload", func(t *testing.T) {
+		h := newHarness()
+		if err := h.front.drain(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		assertReply(t, h.do("POST", "/v1/tasks", spec(`,"once":true`), authHeader(teamKey)...), 503, anvilerror.Unknown, anvilerror.QueueFull)
+		assertReply(t, h.do("POST", "/v1/call/layout", "x", append(authHeader(teamKey), "Request-Id", id, "Idempotent", "no")...), 503,
+			anvilerror.Unknown, anvilerror.QueueFull)
+	})
+}
