--- a/entry/anvilscheduler/advice.go
+++ b/entry/anvilscheduler/advice.go
@@ -13,7 +13,7 @@
 // arrives and an instance can send a query now. While a query is in flight, the stage keeps its claims.
 func (l *Loop) requestTickets(p *passState, r readyStage) {
 	ts := &r.stage.tickets
-	if ts.queryInFlight || p.now < ts.retryAt {
+	if ts.queriesInFlight > 0 || p.now < ts.retryAt {
 		for _, cl := range ts.claims {
 			if cl.worker.candidate != nil {
 				cl.worker.candidate.claimed = cl.worker.candidate.claimed.Add(cl.size)
@@ -28,11 +28,22 @@
 	if len(names) == 0 {
 		return
 	}
-	if via := l.proxies.pick(r.queue.Advice().Cost(len(names)), p.now); via != nil {
-		l.queryAdvisor(r, names, via, p.now)
+	for _, part := range splitQuery(names, r.queue.Advice(), l.proxies.idle(p.now)) {
+		if via := l.proxies.pick(r.queue.Advice().Cost(len(part)), p.now); via != nil {
+			l.queryAdvisor(r, part, via, p.now)
+		}
 	}
 }
 
+// splitQuery splits the workers that a query names into queries that are sent at the same time through different
+// instances, because the advisor needs time for each worker of a query and serves the instances side by side. Each part
+// costs the advisor the fixed time again, so there are fewer the fewer instances are idle.
+func splitQuery(names []*worker, a anvilpolicy.Advice, idle int) [][]*worker {
+	parts := 1 + int((a.Cost(len(names))-a.Cost(0))/splitCost)
+	parts = max(min(parts, 1+idle/idlePerPart), (len(names)+maxQueryWorkers-1)/maxQueryWorkers)
+	return slices.Collect(slices.Chunk(names, (len(names)+parts-1)/parts))
+}
+
 // queryOption is a worker that a query for a stage may name.
 type queryOption struct {
 	candidate *candidate
@@ -75,7 +86,7 @@
 	var names []*worker
 	expected, certain, possible := 0.0, 0, 0
 	for _, option := range list {
-		if expected >= target && (len(names) >= minNamed || certain >= s.waiting) || len(names) == maxQueryWorkers {
+		if expected >= target && (len(names) >= minNamed || certain >= s.waiting) || len(names) == p.maxNamed(s) {
 			break
 		}
 		probability := rate
@@ -99,6 +110,15 @@
 	return names
 }
 
+// maxNamed returns how many workers the queries of a stage may name together. A gang needs tickets for all its tasks at
+// once, and they expire while another query is answered.
+func (p *passState) maxNamed(s *stage) int {
+	if s.step.Gang() && p.loop.proxies.idle(p.now) > idlePerPart {
+		return gangQueryParts * maxQueryWorkers
+	}
+	return maxQueryWorkers
+}
+
 // targetTasks returns for how many tasks a query names workers, given the expected approvals. The added constant
 // matters for stages of few tasks, which a single refusal affects more. It is larger for a gang, which needs approval
 // for all its tasks at once.
@@ -120,7 +140,8 @@
 
 // queryOptions returns the workers that may have capacity for tasks of a stage at a time, ordered by their approval
 // status and then by free capacity. Workers with the least free capacity come first, which leaves whole workers to the
-// tasks that need them.
+// tasks that need them. For a gang, those with capacity for the most tasks come first: it needs the fewest approvals
+// there, and small tasks can use what remains.
 func (p *passState) queryOptions(r readyStage, at anvilclock.Millis) []queryOption {
 	s, size := r.stage, r.stage.step.Reservation()
 	snap := p.pool(r.queue.Pool())
@@ -168,8 +189,13 @@
 	if !anyFits && !large && s.step.Label() == "" {
 		snap.shortfalls = append(snap.shortfalls, sizeShortfall{size: size, until: at})
 	}
+	gang := s.step.Gang()
 	slices.SortFunc(list, func(x, y queryOption) int {
-		return cmp.Or(cmp.Compare(x.status, y.status), cmp.Compare(x.free, y.free),
+		byTasks := 0
+		if gang {
+			byTasks = cmp.Compare(y.tasks, x.tasks)
+		}
+		return cmp.Or(cmp.Compare(x.status, y.status), byTasks, cmp.Compare(x.free, y.free),
 			cmp.Compare(x.candidate.index, y.candidate.index))
 	})
 	return list
@@ -180,7 +206,7 @@
 func (l *Loop) queryAdvisor(r readyStage, workers []*worker, via *proxy, now anvilclock.Millis) {
 	s := r.stage
 	cost := r.queue.Advice().Cost(len(workers))
-	s.tickets.queryInFlight = true
+	s.tickets.queriesInFlight++
 	via.inflight++
 	via.queuedCost += cost
 	addr := via.instance.Addr()
@@ -211,7 +237,7 @@
 	}
 	now := l.clock.Now()
 	s := m.stage
-	s.tickets.queryInFlight = false
+	s.tickets.queriesInFlight--
 	m.via.inflight--
 	m.via.queuedCost -= m.cost
 	l.requestPass()
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -443,6 +443,7 @@
 		l.retire(w, "another worker answers")
 	case FaultUnavailable:
 		w.backoffUntil = now + unavailableBackoff
+		w.health.recordUnavailable(now)
 	case FaultNoReply, FaultInvalid, FaultRefused:
 		if e.fault == FaultRefused && w.deregisteredAt != 0 && w.registration.draining {
 			l.retire(w, "left")
--- a/entry/anvilscheduler/health.go
+++ b/entry/anvilscheduler/health.go
@@ -7,8 +7,8 @@
 
 // health records whether runs fail or stall on a worker, and when the worker leaves.
 type health struct {
-	// failures counts consecutive failed runs.
-	failures     int
+	// evidence grows with failed runs and shrinks with runs that succeed.
+	evidence     int
 	suspectUntil anvilclock.Millis
 	// leavesAt is when a draining worker leaves at the earliest.
 	leavesAt anvilclock.Millis
@@ -16,9 +16,16 @@
 
 // Limits after which a worker is suspect.
 const (
-	// suspectFailures is the number of consecutive failed runs after which a worker is suspect. Tasks fail by their own
-	// fault in one of twenty runs, so three in a row are unlikely to be chance.
-	suspectFailures = 3
+	// suspectEvidence is the number of failed runs, less those that succeeded meanwhile, after which a worker is suspect:
+	// tasks fail by their own fault in one of twenty runs. maxEvidence bounds the number, so that a worker that has
+	// recovered is used again soon.
+	suspectEvidence = 3
+	maxEvidence     = 5
+	// A run that fails within quickFailureShare of its estimate, in percent, or within quickFailureTime, counts
+	// quickFailureWeight times: tasks fail by their own fault at any time, and a faulty worker fails them at once.
+	quickFailureShare  = 10
+	quickFailureTime   = anvilclock.Millis(150)
+	quickFailureWeight = 2
 	// suspectDuration is how long a worker stays suspect and is avoided.
 	suspectDuration = anvilclock.Millis(5000)
 	// stallTimeout is how long a run may report no progress before it is stopped and its worker is suspect. A tenth
@@ -27,19 +34,26 @@
 )
 
 // recordEnd records how a run at the worker ended. Runs that were stopped or whose lease expired do not count.
-func (h *health) recordEnd(c Cause, now anvilclock.Millis) {
+func (h *health) recordEnd(c Cause, ran, estimate, now anvilclock.Millis) {
 	switch c {
 	case CauseDone:
-		h.failures = 0
-		h.suspectUntil = 0
+		h.evidence = max(h.evidence-1, 0)
 	case CauseFailed:
-		if h.failures++; h.failures >= suspectFailures {
+		weight := 1
+		if ran < max(estimate*quickFailureShare/100, quickFailureTime) {
+			weight = quickFailureWeight
+		}
+		h.evidence = min(h.evidence+weight, maxEvidence)
+		if h.evidence >= suspectEvidence {
 			h.suspectUntil = now + suspectDuration
 		}
 	default:
 	}
 }
 
+// recordUnavailable records that the worker has refused an order as unavailable, which a worker in order doesn't do.
+func (h *health) recordUnavailable(now anvilclock.Millis) { h.suspectUntil = now + suspectDuration }
+
 func (h *health) suspect(now anvilclock.Millis) bool { return now < h.suspectUntil }
 
 // adjustRuns acts on a report of a worker: it stops stalled runs, and pauses opportunistic tasks while another task on
--- a/entry/anvilscheduler/leadership.go
+++ b/entry/anvilscheduler/leadership.go
@@ -90,7 +90,7 @@
 			l.log.Fault(anvilevent.RowUnreadable, err, "table", string(anvilstorage.Leaderships))
 		}
 	}
-	newObservation := m.row.Version() != ls.rowVersion || ls.lastRead == 0 || m.since-ls.lastRead > maxPollGap
+	newObservation := m.row.Version() != ls.rowVersion || ls.lastRead == 0 || m.since-ls.lastRead > anvilclock.Millis(l.pollInterval.Load())+maxPollDelay
 	if newObservation {
 		changed := ls.current.Addr() != current.Addr()
 		ls.rowVersion, ls.current, ls.unchangedSince = m.row.Version(), current, m.since
@@ -141,15 +141,20 @@
 
 func (m peersRead) deliver(l *Loop) {
 	l.leadership.maxPeerCPU = m.maxCPU
-	interval := pollInterval
-	if l.cpuDelay() >= maxCPUDelay/2 {
-		interval = delayedPollInterval
-	}
-	l.pollInterval.Store(int64(interval))
+	l.pollInterval.Store(int64(l.pollIntervalFor(m.count)))
 	l.peerCount.Store(int64(m.count))
 	l.peersKnownOnce.Do(func() { close(l.peersKnown) })
 }
 
+// pollIntervalFor returns the pause between two reads of the leadership row for a number of other instances. The reads of
+// all instances together are as frequent as those of pollPeers of them, because each is charged for.
+func (l *Loop) pollIntervalFor(peers int) anvilclock.Millis {
+	if l.cpuDelay() >= maxCPUDelay/2 {
+		return maxPollInterval
+	}
+	return min(max(pollInterval*anvilclock.Millis(peers)/pollPeers, pollInterval), maxPollInterval)
+}
+
 // claimLeadership writes the leadership row with the next fencing token. The commit fails when the row has changed
 // meanwhile.
 func (l *Loop) claimLeadership() {
--- a/entry/anvilscheduler/proxies.go
+++ b/entry/anvilscheduler/proxies.go
@@ -161,6 +161,17 @@
 	return r
 }
 
+// idle returns the number of instances through which no query is in flight.
+func (s *proxySet) idle(now anvilclock.Millis) int {
+	n := 0
+	for _, p := range s.byName {
+		if p.inflight == 0 && now >= p.backoffUntil {
+			n++
+		}
+	}
+	return n
+}
+
 // pick returns the instance through which a query would be answered first; nil when all are busy or in backoff. The
 // cost is the time that the advisor needs for the query. An instance may have several short queries in flight, because
 // their round trip takes longer than the advisor's work.
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -299,6 +299,11 @@
 	switch e.fault {
 	case FaultNoReply, FaultFenced, FaultReplaced:
 		// tickWorkload sends the start again, unless the leadership or the worker's incarnation ends.
+	case FaultUnavailable:
+		// The other tasks of a gang would be stopped, so its start is sent again for a while.
+		if !t.stage.step.Gang() || now-t.startSent > gangStartWindow {
+			l.refuseStart(t, e.fault)
+		}
 	case FaultOutdated:
 		t.confirmedAt = now
 	default:
@@ -396,7 +401,12 @@
 		return
 	}
 	t.adoptedFrom = ""
-	w.health.recordEnd(e.cause, l.clock.Now())
+	now := l.clock.Now()
+	ran := t.stage.step.Estimate()
+	if t.startSent != 0 {
+		ran = now - t.startSent
+	}
+	w.health.recordEnd(e.cause, ran, t.stage.step.Estimate(), now)
 	switch e.cause {
 	case CauseDone:
 		l.completeTask(t)
--- a/entry/anvilscheduler/tickets.go
+++ b/entry/anvilscheduler/tickets.go
@@ -7,7 +7,8 @@
 
 // tickets holds the advisor's answers for a stage. An approval is permanent; the ticket for it expires.
 type tickets struct {
-	queryInFlight bool
+	// queriesInFlight is the number of queries that wait for an answer. They were sent together, for different workers.
+	queriesInFlight int
 	// retryAt is the time from which the next query may be sent.
 	retryAt anvilclock.Millis
 	// queried holds the workers that answered queries have named, approved the newest tickets of those that may run the
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -27,14 +27,17 @@
 	// times its CPU.
 	minLeadTime    = anvilclock.Millis(3000)
 	yieldCPUFactor = 2
-	// pollInterval is the pause between two reads of the leadership row.
-	pollInterval = anvilclock.Millis(300)
-	// delayedPollInterval replaces pollInterval in an instance whose claim is delayed because of its CPU. It is below
-	// maxPollGap.
-	delayedPollInterval = anvilclock.Millis(800)
-	// maxPollGap is the longest time between two successful reads of the row that count as one observation. A longer gap,
-	// as after an outage of the store, starts a new observation, so that the leader has time to renew.
-	maxPollGap = anvilclock.Millis(1000)
+	// pollInterval is the pause between two reads of the leadership row with up to pollPeers other instances. With more it
+	// grows up to maxPollInterval, which an instance whose claim is delayed because of its CPU always uses.
+	pollInterval    = anvilclock.Millis(300)
+	maxPollInterval = anvilclock.Millis(800)
+	pollPeers       = 10
+	// maxPollDelay is by how much longer than the pause the time between two successful reads of the row may be, so that they
+	// count as one observation. A longer gap, as after an outage of the store, starts a new observation, so that the
+	// leader has time to renew.
+	maxPollDelay = anvilclock.Millis(700)
+	// pollTimeout bounds a read of the row.
+	pollTimeout = anvilclock.Millis(1000)
 	// distanceFactor is the delay of a claim in multiples of the round trip to the store. An instance near the store is a
 	// better leader, because the leader commits all the time. 24 ms between regions delay a claim by 240 ms.
 	distanceFactor = 10
@@ -110,6 +113,9 @@
 	orderTimeout = anvilclock.Millis(700)
 	// orderRetryDelay is the least time between two attempts of a start that gets no answer.
 	orderRetryDelay = anvilclock.Millis(150)
+	// gangStartWindow is how long starts of a gang's tasks are sent again to workers that refuse them as unavailable. The
+	// other tasks wait for them, and their tickets expire.
+	gangStartWindow = anvilclock.Millis(1200)
 	// unresponsiveAfter is the number of consecutive orders without an answer after which a worker counts as unresponsive.
 	unresponsiveAfter = 2
 	// probeInterval is the pause between holds of an unresponsive worker.
@@ -175,17 +181,23 @@
 	ticketTravelTime = anvilclock.Millis(80)
 	// maxQueryWorkers is how many workers an advisor query may name.
 	maxQueryWorkers = 100
+	// A query is split once the workers that it names cost the advisor another splitCost, into one part more for each
+	// idlePerPart idle instances.
+	splitCost   = anvilclock.Millis(200)
+	idlePerPart = 8
+	// gangQueryParts times maxQueryWorkers is how many workers the queries of a gang may name together.
+	gangQueryParts = 3
 	// An advisor query names workers for more tasks than wait, because other stages will use some of the free capacity.
 	// queryFactor is the multiple for a stage, gangQueryFactor that for a gang, which is larger because a gang starts only
 	// once its last task fits.
 	queryFactor     = 1.5
-	gangQueryFactor = 2.0
+	gangQueryFactor = 3.0
 	// maxReservations is how many stages may reserve capacity in a pass.
 	maxReservations = 3
 	// Capacity is reserved for tasks that need at least largeTaskShare of a worker, in parts per million.
 	// Without reservations, a task that needs a whole worker waits for up to 36 s under low load, while a quarter of the
 	// pool is free in parts that are too small.
-	largeTaskShare = 500_000
+	largeTaskShare = 400_000
 	// reservedPoolDivisor bounds the reservations that are kept from pass to pass: they cover at most one in
 	// reservedPoolDivisor workers of a pool.
 	reservedPoolDivisor = 4
--- a/entry/anvilscheduler/upstream.go
+++ b/entry/anvilscheduler/upstream.go
@@ -15,12 +15,12 @@
 const (
 	// In a failure domain with minUpstreamDomain or more instances, only one of them reads the states of jobs from the
 	// store. All states are 600 kB, and their changes are 36 kB a second at 40 jobs a second: 130 instances would fill
-	// the link of 30 Mbit/s between two regions.
-	minUpstreamDomain = 12
+	// the link of 30 Mbit/s between two regions, and each read is charged for.
+	minUpstreamDomain = 4
 	// upstreamTimeout bounds a read from an upstream, maxStatesAge the age of the states that an instance serves to
 	// others.
 	upstreamTimeout = anvilclock.Millis(1500)
-	maxStatesAge    = anvilclock.Millis(5000)
+	maxStatesAge    = anvilclock.Millis(2000)
 	// upstreamBackoff is how long an upstream is skipped after a failed read.
 	upstreamBackoff = anvilclock.Millis(3000)
 	// fullReadInterval is the time after which all states are read from an upstream again: its changes don't show which
--- a/entry/anvilscheduler/upstream_test.go
+++ b/entry/anvilscheduler/upstream_test.go
@@ -47,7 +47,7 @@
 		return anvilstorage.NewInstance(fmt.Sprintf("e%02d", i), fmt.Sprintf("e%02d:1", i), "d1", milliCPU)
 	}
 	var domain []anvilstorage.Instance
-	for i := range minUpstreamDomain {
+	for i := range 12 {
 		domain = append(domain, instance(i, 200))
 	}
 	domain[5] = instance(5, 800)
@@ -57,7 +57,7 @@
 			upstreamsOf(domain[5], append(domain[:5:5], domain[6:]...)), []string{})
 		assertEqual(t, "upstreams of the third instance",
 			upstreamsOf(domain[1], append(domain[:1:1], domain[2:]...)), []string{"e05:1", "e00:1"})
-		assertEqual(t, "number of upstreams in a small domain", len(upstreamsOf(domain[1], domain[2:])), 0)
+		assertEqual(t, "number of upstreams in a small domain", len(upstreamsOf(domain[1], domain[2:minUpstreamDomain])), 0)
 	})
 	t.Run("states come from the first upstream that answers", func(t *testing.T) {
 		// Guards against instances without states because the first instance of their domain is down, and against all
--- a/entry/anvilscheduler/watch.go
+++ b/entry/anvilscheduler/watch.go
@@ -156,7 +156,7 @@
 	tracker := l.trackOutage("tenure")
 	for ctx.Err() == nil {
 		since := l.clock.Now()
-		call, cancel := withTimeout(ctx, maxPollGap)
+		call, cancel := withTimeout(ctx, pollTimeout)
 		page, err := l.store.Scan(call, anvilstorage.Leaderships)
 		cancel()
 		tracker.record(ctx, err)
