--- a/load/anviltrial/inject.go
+++ b/load/anviltrial/inject.go
@@ -173,8 +173,11 @@
 const restoreTimeout = 10 * time.Second
 
 // markLeaving marks a worker as leaving for a span of time. The recorded interval ends before the removal of the mark
-// is sent, because the removal may take effect before its answer arrives.
+// is sent, because the removal may take effect before its answer arrives. It locks the worker until the mark is removed,
+// because a removal that is delayed while the table is unreachable must not undo the next mark.
 func (t *Trial) markLeaving(ctx context.Context, worker string, span time.Duration) error {
+	t.leaveLocks[worker].Lock()
+	defer t.leaveLocks[worker].Unlock()
 	spanCtx, cancel := context.WithTimeout(ctx, span)
 	defer cancel()
 	markErr := t.retryChange(spanCtx, func() anvilcaller.Change { return t.operator.ChangeLeaveMark(ctx, anvilcaller.Put, worker) })
--- a/load/anviltrial/trial.go
+++ b/load/anviltrial/trial.go
@@ -37,6 +37,7 @@
 	teams           []Team
 	clock           anvilclock.Clock
 	withdrawalLocks map[string]*sync.Mutex // by team; locked while its last key is withdrawn
+	leaveLocks      map[string]*sync.Mutex // by worker; locked while it is marked as leaving
 }
 
 // Open starts a cell, writes the contracts and keys of the teams, and waits until every pool answers calls. The
@@ -46,10 +47,13 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Trial{cell: cell, recorder: NewRecorder(), teams: teams, clock: anvilclock.NewSystem(), withdrawalLocks: map[string]*sync.Mutex{}}
+	t := &Trial{cell: cell, recorder: NewRecorder(), teams: teams, clock: anvilclock.NewSystem(), withdrawalLocks: map[string]*sync.Mutex{}, leaveLocks: map[string]*sync.Mutex{}}
 	for _, team := range teams {
 		t.withdrawalLocks[team.Name()] = &sync.Mutex{}
 	}
+	for _, w := range plan.Workers() {
+		t.leaveLocks[w.ID()] = &sync.Mutex{}
+	}
 	t.balancer = anvilcaller.NewBalancer(ctx, cell)
 	t.client = anvilcaller.New(t.balancer)
 	t.operator = anvilcaller.NewOperator(t.client, OperatorKey)
