--- a/entry/anvilscheduler/messages.go
+++ b/entry/anvilscheduler/messages.go
@@ -97,8 +97,7 @@
 	worker *worker
 	task   *task
 	run    int
-	clock  anvilclock.Millis
-	err    error
+	startAnswer
 }
 
 // stopAnswered is the result of a stop. The task is nil if the run was bound to none.
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -258,7 +258,7 @@
 	l.spawn(func() {
 		ctx, cancel := withTimeout(ctx, orderTimeout)
 		defer cancel()
-		m.clock, m.err = workers.Start(ctx, to, o)
+		m.startAnswer = startTwice(ctx, workers, to, o, secondStartDelay.Duration())
 		l.post(m)
 	})
 	t.confirmedAt = 0
@@ -291,7 +291,7 @@
 	e := asOrderError(m.err)
 	l.log.Record(anvilevent.StartRefused, "task", t.id.String(), "run", t.run, "worker", w.id(), "fault", string(e.fault), "error", e.Error())
 	l.meter.Count("start." + string(e.fault))
-	t.unconfirmed = t.unconfirmed || e.fault == FaultNoReply
+	t.unconfirmed = t.unconfirmed || m.unanswered
 	l.handleOrderError(w, m.err, now)
 	if t.worker != w || t.run != m.run || t.machine.State() != taskStarting {
 		return
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -111,6 +111,8 @@
 	minHoldInterval = anvilclock.Millis(30)
 	// orderTimeout bounds a start, a stop, and a hold beyond its wait.
 	orderTimeout = anvilclock.Millis(700)
+	// secondStartDelay is how long a start may stay unanswered before it is sent a second time.
+	secondStartDelay = anvilclock.Millis(200)
 	// orderRetryDelay is the least time between two attempts of a start that gets no answer.
 	orderRetryDelay = anvilclock.Millis(150)
 	// gangStartWindow is how long starts of a gang's tasks are sent again to workers that refuse them as unavailable. The
--- a/entry/anvilscheduler/upstream.go
+++ b/entry/anvilscheduler/upstream.go
@@ -23,6 +23,9 @@
 	maxStatesAge    = anvilclock.Millis(2000)
 	// upstreamBackoff is how long an upstream is skipped after a failed read.
 	upstreamBackoff = anvilclock.Millis(3000)
+	// firstReadWait is how long a new process tries the preferred upstream before any other: when all processes were
+	// killed, the upstream reads all states itself first, and the others would read them from the store as well.
+	firstReadWait = anvilclock.Millis(2000)
 	// fullReadInterval is the time after which all states are read from an upstream again: its changes don't show which
 	// jobs were removed.
 	fullReadInterval = anvilclock.Millis(60_000)
@@ -66,7 +69,9 @@
 	backoffUntil map[string]anvilclock.Millis
 	// lastFullRead is when all states were last read from an upstream.
 	lastFullRead anvilclock.Millis
-	scanTimeout  adaptiveTimeout
+	// firstReadUntil is the end of firstReadWait; 0 once states were read.
+	firstReadUntil anvilclock.Millis
+	scanTimeout    adaptiveTimeout
 }
 
 // adaptiveTimeout bounds reads of a whole table. Each failure doubles the time: reads over a congested link would
@@ -88,7 +93,7 @@
 }
 
 func newStateSource(l *Loop) *stateSource {
-	return &stateSource{loop: l, backoffUntil: map[string]anvilclock.Millis{}}
+	return &stateSource{loop: l, backoffUntil: map[string]anvilclock.Millis{}, firstReadUntil: l.clock.Now() + firstReadWait}
 }
 
 // read returns the states that are newer than a version, and whether these are all states. From an upstream it
@@ -106,9 +111,12 @@
 	defer cancel()
 	page, err := s.loop.peers.States(ctx, addr, after)
 	if err != nil {
-		s.backoffUntil[addr] = now + upstreamBackoff
+		if now >= s.firstReadUntil {
+			s.backoffUntil[addr] = now + upstreamBackoff
+		}
 		return page, false, anvilstorage.NewError(anvilstorage.Refused, err)
 	}
+	s.firstReadUntil = 0
 	if after == 0 {
 		s.lastFullRead = now
 	}
