--- a/entry/anvillistener/listener_test.go
+++ b/entry/anvillistener/listener_test.go
@@ -1,6 +1,7 @@
 package anvillistener
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -79,3 +80,34 @@
 	})
 	t.Run("without a request", func(t *testing.T) { assertClosed(t, dial(t, s)) })
 }
+
+// Guards against a connection that is closed because its request takes longer than the time to write a response.
+func TestLongRequest(t *testing.T) {
+	const limit = 50 * time.Millisecond
+	s := New("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(4 * limit)
+		_, _ = w.Write([]byte("answer"))
+	}))
+	s.writeTimeout = limit
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := s.Stop(t.Context()); err != nil {
+			t.Error(err)
+		}
+	})
+	c := dial(t, s)
+	for range 2 {
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(res.Body); err != nil || string(body) != "answer" {
+			t.Fatalf("got %q, %v", body, err)
+		}
+	}
+}
--- a/entry/anvillistener/server.go
+++ b/entry/anvillistener/server.go
@@ -22,8 +22,9 @@
 	// requests in flight wait.
 	spareHandlers = 64
 	// DefaultIdle is longer than the usual idle timeouts of load balancers, which must close connections first.
-	DefaultIdle  = 75 * time.Second
-	writeTimeout = 10 * time.Second
+	DefaultIdle = 75 * time.Second
+	// defaultWrite bounds the time to write a response, from the end of its handler.
+	defaultWrite = 10 * time.Second
 	// parserOverhead is added to the parser's limit for the request line and the framing, so that a request at its
 	// limits reaches the handler.
 	parserOverhead = 64 << 10
@@ -47,6 +48,7 @@
 	maxConns           int
 	maxInFlight        int
 	idleTimeout        time.Duration
+	writeTimeout       time.Duration
 	drain              func(context.Context) error
 	parseErrorResponse func(tooLong bool) []byte
 	onReject           func()
@@ -115,7 +117,8 @@
 	logging.SetLevel(logging.LevelNone)
 	s := &Server{
 		addr: addr, handler: handler, clock: anvilclock.NewSystem(), maxBody: defaultBody, maxHeaders: defaultHeaders,
-		maxConns: defaultConns, maxInFlight: defaultInFlight, idleTimeout: DefaultIdle, conns: map[string]connection{}, empty: make(chan struct{}),
+		maxConns: defaultConns, maxInFlight: defaultInFlight, idleTimeout: DefaultIdle,
+		writeTimeout: defaultWrite, conns: map[string]connection{}, empty: make(chan struct{}),
 		drain: func(context.Context) error { return nil },
 		parseErrorResponse: func(bool) []byte {
 			return []byte("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
@@ -130,7 +133,7 @@
 	}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network: "tcp", NPoller: 1, Handler: s.trackBusy(handler), MaxHTTPBodySize: s.maxBody + 1, ReadLimit: s.maxBody + s.maxHeaders + parserOverhead,
-		MessageHandlerPoolSize: s.maxInFlight + spareHandlers, KeepaliveTime: s.idleTimeout, WriteTimeout: writeTimeout,
+		MessageHandlerPoolSize: s.maxInFlight + spareHandlers, KeepaliveTime: s.idleTimeout,
 	})
 	s.engine.OnClose(func(c net.Conn, err error) {
 		s.descriptors.closed(c, err)
@@ -330,7 +333,8 @@
 }
 
 // setBusy records whether a request is being handled on a connection. At the start of a request it clears the idle
-// deadline.
+// deadline, and at its end it sets the deadline for writing the response. nbhttp would set that one when the request
+// arrives, and close the connection of a request that takes longer.
 func (s *Server) setBusy(addr string, busy bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -342,5 +346,7 @@
 	s.conns[addr] = c
 	if busy {
 		_ = c.conn.SetReadDeadline(time.Time{})
+		return
 	}
+	_ = c.conn.SetWriteDeadline(time.Now().Add(s.writeTimeout))
 }
