--- a/entry/anvilscheduler/workload.go
+++ b/entry/anvilscheduler/workload.go
@@ -185,8 +185,13 @@
 	if j == nil {
 		return nil
 	}
-	at := id.Occurrence()*j.sub.Spec().Steps() + id.Step()
-	if id.Step() >= j.sub.Spec().Steps() || at >= len(j.stages) || id.Index() >= len(j.stages[at].tasks) {
+	// The id may come from a report or a record of another writer, with any numbers.
+	occurrence, step, steps := id.Occurrence(), id.Step(), j.sub.Spec().Steps()
+	if occurrence < 0 || occurrence >= len(j.stages) || step < 0 || step >= steps {
+		return nil
+	}
+	at := occurrence*steps + step
+	if at >= len(j.stages) || id.Index() < 0 || id.Index() >= len(j.stages[at].tasks) {
 		return nil
 	}
 	return j.stages[at].tasks[id.Index()]
