--- a/entry/anvilcontrol/control_test.go
+++ b/entry/anvilcontrol/control_test.go
@@ -336,6 +336,25 @@
 		assertState(t, c, first, id, reportDone)
 		assertStarts(t, c, task.ID(), 2)
 	})
+	t.Run("fails for good with its third failure", func(t *testing.T) {
+		c, first, _ := startCell(t)
+		task := c.batch(anviltask.WithRunTime(60_000))
+		reply := c.submit(first, task)
+		c.runWithReplies(1000)
+		id := assertAccepted(t, reply)
+		for n := range maxFailures {
+			assertStarts(t, c, task.ID(), n+1)
+			assertState(t, c, first, id, runRunning)
+			for _, w := range c.workers {
+				for _, id := range w.ids() {
+					w.finish(w.tasks[id], reportFailed, nil)
+				}
+			}
+			c.runWithReplies(2000)
+		}
+		assertState(t, c, first, id, reportFailed)
+		assertStarts(t, c, task.ID(), maxFailures)
+	})
 	t.Run("cancelled while it runs", func(t *testing.T) {
 		c, first, _ := startCell(t)
 		reply := c.submit(first, c.batch(anviltask.WithRunTime(60_000)))
--- a/entry/anvilcontrol/job.go
+++ b/entry/anvilcontrol/job.go
@@ -11,8 +11,8 @@
 
 // Limits and delays of tasks.
 const (
-	maxTries        = 8 // starts of a task that isn't accepted
-	maxFailures     = 3
+	maxTries        = 8  // starts of a task that isn't accepted
+	maxFailures     = 3  // of an accepted task, after which it has failed
 	maxDecisions    = 32 // decisions kept of a task
 	maxEndedJobs    = 20_000
 	jobRetention    = anvilclock.Millis(600_000)
@@ -90,7 +90,7 @@
 		"expired":   l.endExpired,
 		"halt":      l.stopCancelled,
 	}, map[string]func(*job) bool{
-		"retry":   func(j *job) bool { return j.accepted && !j.task.NonIdempotent() && j.failures+1 < maxFailures },
+		"retry":   func(j *job) bool { return j.accepted && !j.task.NonIdempotent() && j.failures < maxFailures },
 		"timely":  l.mayStartAgain,
 		"restart": func(j *job) bool { return j.accepted && !j.task.NonIdempotent() },
 		"call":    func(j *job) bool { return j.task.Kind() == anviltask.Call },
@@ -118,7 +118,10 @@
 	}
 	j.runs, j.goSent, j.abortOutcome = nil, false, ""
 	j.tries++
-	l.retryBudget.RecordStart(l.clock.Now())
+	if j.tries == 1 {
+		// A retry must not earn the next one.
+		l.retryBudget.RecordStart(l.clock.Now())
+	}
 	for i, w := range plan {
 		l.recordDecision(j, anvilevent.TaskPlaced, w.resources.ID(), "")
 		l.startRun(j, i, w)
--- a/lib/anvillimit/budget.go
+++ b/lib/anvillimit/budget.go
@@ -41,7 +41,7 @@
 	return b
 }
 
-// RecordStart counts a start, whether it is the first one of a task or a retry.
+// RecordStart counts the first start of a task, which earns retries.
 func (b *Budget) RecordStart(now anvilclock.Millis) {
 	b.refill(now)
 	b.earned = min(b.earned+b.retryPercent, maxEarned)
