--- a/ctl/trace.go
+++ b/ctl/trace.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"slices"
 	"strings"
@@ -70,10 +71,15 @@
 	}
 	defer func() { _ = in.Close() }()
 	var out []traceLine
-	scanner := bufio.NewScanner(in)
-	scanner.Buffer(nil, 1<<20)
-	for scanner.Scan() {
-		text := scanner.Text()
+	r := bufio.NewReader(in)
+	for {
+		text, err := r.ReadString('\n')
+		if err != nil && err != io.EOF {
+			return out, err
+		}
+		if text == "" {
+			return out, nil
+		}
 		start := strings.IndexByte(text, '{')
 		if start < 0 || !strings.Contains(text, id) {
 			continue
@@ -84,7 +90,6 @@
 		}
 		out = append(out, newTraceLine(fields))
 	}
-	return out, scanner.Err()
 }
 
 func newTraceLine(fields map[string]any) traceLine {
