--- a/entry/anvilscheduler/fault_test.go
+++ b/entry/anvilscheduler/fault_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"anvilhold.org/entry/anvilstorage"
-	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anviljob"
 	"anvilhold.org/lib/anvilpolicy"
 	"anvilhold.org/lib/anvilsize"
@@ -413,11 +412,14 @@
 		fc, h := started(t, "w1")
 		fc.submit("j1", advisedQueue, teamName, anviljob.NewStep(1, core(1)))
 		fc.advance(reactionTime, h)
-		fc.endRun("j1.0.0.0", CauseStopped, "")
 		asked := len(fc.queries)
-		fc.advance(anvilclock.Millis(2500), h)
+		fc.advanceWorking(2500, h)
+		fc.endRun("j1.0.0.0", CauseStopped, "")
+		fc.advance(reactionTime, h)
 		assertRunning(t, fc, "j1.0.0.0")
-		_ = asked
+		if len(fc.queries) == asked {
+			t.Error("the task was started again without a new ticket")
+		}
 	})
 }
 
