--- a/entry/anvilscheduler/advice.go
+++ b/entry/anvilscheduler/advice.go
@@ -153,7 +153,7 @@
 	var list []queryOption
 	anyFits := false
 	for _, c := range snap.candidates {
-		if c.worker.health.suspect(p.now) || !c.worker.hasLabel(s.step.Label()) {
+		if snap.avoids(c.worker, p.now) || !c.worker.hasLabel(s.step.Label()) {
 			continue
 		}
 		free := projected[c.index].Sub(c.claimed)
--- a/entry/anvilscheduler/gang_test.go
+++ b/entry/anvilscheduler/gang_test.go
@@ -157,6 +157,25 @@
 	}
 }
 
+// Guards against a pool that stands still because all of its workers are suspect.
+func TestSuspectWorkers(t *testing.T) {
+	for name, c := range map[string]struct {
+		suspects int
+		starts   int
+	}{"a few are avoided": {2, 0}, "most are used": {6, 1}, "all are used": {9, 1}} {
+		t.Run(name, func(t *testing.T) {
+			fc, h := startedWithWorkers(t, 9)
+			for i := range c.suspects {
+				h.loop.fleet.byID[fmt.Sprintf("w%03d", i)].health.recordUnavailable(fc.clock.Now())
+			}
+			fc.approves = func(id string) bool { return id == "w000" }
+			fc.submit("j1", advisedQueue, "", anviljob.NewStep(1, core(1)))
+			fc.advance(reactionTime, h)
+			assertEqual(t, "starts at a suspect worker", fc.workers["w000"].starts, c.starts)
+		})
+	}
+}
+
 // Guards against reads of the leadership row whose number grows with that of the instances, and against an interval at
 // which a slow store's answers never count as one observation.
 func TestPollInterval(t *testing.T) {
--- a/entry/anvilscheduler/health.go
+++ b/entry/anvilscheduler/health.go
@@ -28,6 +28,8 @@
 	quickFailureWeight = 2
 	// suspectDuration is how long a worker stays suspect and is avoided.
 	suspectDuration = anvilclock.Millis(5000)
+	// Suspect workers are excluded while they are at most one in maxSuspectDivisor workers of the pool.
+	maxSuspectDivisor = 3
 	// stallTimeout is how long a run may report no progress before it is stopped and its worker is suspect. A tenth
 	// of the step's estimate replaces it when that is longer.
 	stallTimeout = anvilclock.Millis(2500)
--- a/entry/anvilscheduler/poolsnapshot.go
+++ b/entry/anvilscheduler/poolsnapshot.go
@@ -22,6 +22,8 @@
 	maxFree anvilsize.Size
 	// maxCapacity is, for each dimension, the largest capacity of a worker.
 	maxCapacity anvilsize.Size
+	// suspects is the number of candidates that are suspect.
+	suspects int
 	// reserved is the number of candidates on which stages hold a reservation from an earlier pass.
 	reserved int
 	// mostUrgent is the most urgent priority among the queues of the pool; lower numbers are more urgent.
@@ -71,6 +73,9 @@
 		free := w.free()
 		w.candidate = &candidate{worker: w, freeCPU: free.CPU()}
 		snap.candidates = append(snap.candidates, w.candidate)
+		if w.health.suspect(p.now) {
+			snap.suspects++
+		}
 		snap.used, snap.capacity = snap.used.Add(w.used), snap.capacity.Add(w.registration.capacity)
 		snap.maxFree = snap.maxFree.Max(free)
 		snap.maxCapacity = snap.maxCapacity.Max(w.registration.capacity)
@@ -85,6 +90,12 @@
 	return snap
 }
 
+// avoids reports whether a worker gets no work because it is suspect. When many workers are, the tasks or the platform are
+// at fault, and excluding all of them would stop the pool.
+func (snap *poolSnapshot) avoids(w *worker, now anvilclock.Millis) bool {
+	return snap.suspects*maxSuspectDivisor <= len(snap.candidates) && w.health.suspect(now)
+}
+
 // commonRacks returns the labels of the pool's workers, the most common first. Each label is tried as a rack.
 func (snap *poolSnapshot) commonRacks() []string {
 	if snap.racks != nil {
