--- a/review/harness/config.go
+++ b/review/harness/config.go
@@ -12,6 +12,7 @@
 	cases["revoked"] = playRevoked
 	cases["route"] = playRoute
 	cases["cancel"] = playCancel
+	cases["told"] = playTold
 }
 
 // playRevoked turns two of six machines away from the store for 9 s while a key is taken away, and sends duplicates of
@@ -196,3 +197,41 @@
 	}
 	return "", nil
 }
+
+// playTold loses the answer of the store to a submission, which the store has carried out, and takes the caller's key away
+// while the submission waits for that answer.
+func playTold(c *cell, trouble bool) (string, error) {
+	c.configure(oneQueue, oneTenant)
+	if err := c.addWorkers(4, 0); err != nil {
+		return "", err
+	}
+	if err := c.startNodes(3); err != nil {
+		return "", err
+	}
+	if !c.submit(0, "/draft/00000000000000aa", "k1", simpleJob(2, 300)) {
+		return "", fmt.Errorf("the first job was not accepted")
+	}
+	if err := c.awaitState("/draft/00000000000000aa", "k1", "completed", 15*time.Second); err != nil {
+		return "", err
+	}
+	var n *node
+	for _, other := range c.nodes {
+		if other != c.leader() {
+			n = other
+		}
+	}
+	if trouble {
+		logf("platform_lost: for 0.3 s, transactions of node %d are carried out and get no answer", n.index)
+		n.front.late = 50 * time.Millisecond
+		n.front.set(storeLate)
+		time.AfterFunc(300*time.Millisecond, func() { n.front.set(storeServes) })
+	}
+	path := "/draft/" + jobID
+	time.AfterFunc(600*time.Millisecond, func() { c.configure(oneQueue, []tenant{{name: "studio", keys: []string{"k2"}, weight: 50}}) })
+	status, _ := c.call(n, http.MethodPost, path, "k1", simpleJob(1, 6000), 3*time.Second)
+	time.Sleep(8 * time.Second)
+	if rs := c.runsOf(jobID); len(rs) > 0 && (status == 401 || status == 503 || status == 404) {
+		return fmt.Sprintf("REFUSED: answered %d, yet %s", status, rs[0]), nil
+	}
+	return "", nil
+}
--- a/review/harness/lease.go
+++ b/review/harness/lease.go
@@ -44,14 +44,14 @@
 	return c.overlap(jobID), nil
 }
 
-// playRefused drains a worker at work, and then cuts it off from the store and from the machine that gives it orders;
-// new connections are refused during the cut.
+// playRefused drains one worker of 16 while it is at work, and cuts it off from the store and from the machine that gives
+// it orders; new connections are refused during the cut.
 func playRefused(c *cell, trouble bool) (string, error) {
 	c.configure(oneQueue, oneTenant)
-	if err := c.addWorkers(6, 0); err != nil {
+	if err := c.addWorkers(16, 0); err != nil {
 		return "", err
 	}
-	if err := c.startNodes(3); err != nil {
+	if err := c.startNodes(4); err != nil {
 		return "", err
 	}
 	if !c.submit(0, "/draft/"+jobID, "k1", simpleJob(1, 18000)) {
@@ -65,7 +65,7 @@
 	time.Sleep(2 * time.Second)
 	logf("scale_in: worker %s drains and leaves in 25 s at the earliest", w.id)
 	w.drain(25 * time.Second)
-	time.Sleep(3 * time.Second)
+	time.Sleep(4200 * time.Millisecond)
 	if trouble {
 		logf("srv_cut: worker %s is cut off from the store and from the leader's machine for 5 s; connections are refused", w.id)
 		w.setStoreCut(true)
