anvilscheduler: no lease outlasts the leader's wait, however long the worker was idle

Cause: an order names the end of the lease in the worker's time. The leader took the worker's clock for that of its last reply plus the time since. Idle workers get no holds, so the estimate of a slow clock runs ahead by 2% of the idle time, and the lease was longer by as much, up to max_hold_ms; the leader waited for leaseDuration, 2% and a margin. The worker's log shows a lease of 6638 ms, the leader's 5350 ms. Ruled out: a late order, a lost hold, the margin itself (cases of 1 s idle time held).

Change: the end of a lease counts from the earliest time that the worker's clock can show, so no lease is longer than grantedLease for a clock within the platform's bound. An idle worker gets a hold every 25 s, within the limit for probes, so that its first lease is at most 0.5 s shorter. A start that arrives after the end of its lease is sent again with the clock of the answer; before, its worker was avoided.

The simulated workers of the tests have a clock of their own now, and refuse starts whose lease is over.

--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -15,7 +15,8 @@
 type fleet struct {
 	byID  map[string]*worker
 	pools map[string][]*worker
-	// probesInFlight is the number of holds in flight to workers that have not answered this leader yet or no longer do.
+	// probesInFlight is the number of holds in flight to workers that have not answered this leader yet, no longer do, or
+	// are idle.
 	probesInFlight int
 }
 
@@ -31,7 +32,8 @@
 	// tasks holds the tasks that are bound to the worker, used is the sum of their reservations.
 	used  anvilsize.Size
 	tasks map[*task]bool
-	// clock is the worker's clock in its last reply, which arrived at the local time lastReply.
+	// clock is the worker's clock in its last reply, which arrived at the local time lastReply. The worker's clock may run
+	// slow by maxClockLag.
 	clock     anvilclock.Millis
 	lastReply anvilclock.Millis
 	// leaseExpiry is the local time at which the leases of all runs have certainly expired.
@@ -80,9 +82,15 @@
 		(w.deregisteredAt == 0 || now-w.deregisteredAt < deregistrationGrace)
 }
 
-// workerNow estimates the worker's clock from its last reply.
-func (w *worker) workerNow(now anvilclock.Millis) anvilclock.Millis {
-	return w.clock + (now - w.lastReply)
+// earliestClock returns the earliest time that the worker's clock can show now.
+func (w *worker) earliestClock(now anvilclock.Millis) anvilclock.Millis {
+	return w.clock + (now-w.lastReply)*(100-maxClockLag)/100
+}
+
+// leaseUntil returns the time of the worker's clock until which an order may extend leases. It counts from the earliest
+// time that the clock can show, so no lease is longer than grantedLease, and one after a reply long ago is shorter.
+func (w *worker) leaseUntil(now anvilclock.Millis) anvilclock.Millis {
+	return w.earliestClock(now) + w.loop.grantedLease()
 }
 
 // recordReply records the worker's clock from a reply that arrives now; a clock of 0 stands for no reply.
@@ -92,16 +100,16 @@
 	}
 }
 
-// extendLease records that an order extends leases until a time of the worker's clock. The lease counts as
-// extended when the order is sent, because the order may be carried out without an answer.
-func (w *worker) extendLease(until, now anvilclock.Millis) {
+// extendLease records that an order extends leases until leaseUntil. The lease counts as extended when the order is
+// sent, because the order may be carried out without an answer.
+func (w *worker) extendLease(now anvilclock.Millis) {
 	w.lastExtended = now
-	w.leaseExpiry = max(w.leaseExpiry, now+w.loop.leaseExpiryAfter(max(until-w.workerNow(now), 0)))
+	w.leaseExpiry = max(w.leaseExpiry, now+w.loop.leaseExpiryAfter(w.loop.grantedLease()))
 }
 
 // leaseExpiryAfter returns the longest local time that a lease of d on a worker's clock may last.
 func (l *Loop) leaseExpiryAfter(d anvilclock.Millis) anvilclock.Millis {
-	return d*(100+maxClockLag)/100 + leaseExpiryMargin
+	return d*100/(100-maxClockLag) + leaseExpiryMargin
 }
 
 // grantedLease returns the length of the leases that the leader grants.
@@ -359,15 +367,16 @@
 		if len(w.tasks) == 0 {
 			limit = maxIdleProbes
 		}
-		if (w.lastHold != 0 && now-w.lastHold < probeInterval) || l.fleet.probesInFlight >= limit {
+		if (w.lastHold != 0 && now-w.lastHold < probeInterval) || !l.claimProbe(w, limit) {
 			return
 		}
-		w.probeInFlight = true
-		l.fleet.probesInFlight++
 	case w.acked > w.sentAck:
 		// The hold acknowledges ends. While tasks run, the same call waits for the next end.
 	case len(w.tasks) == 0:
-		return
+		// The reply shows the clock of a worker that may get a start.
+		if w.registration.draining || now-w.lastReply < clockRefreshAge || !l.claimProbe(w, maxIdleProbes) {
+			return
+		}
 	case w.processed > w.acked:
 		// Ends are being stored. A hold would only report them again, so one is sent only to extend leases.
 		if now-w.lastExtended < leaseRefreshAge {
@@ -377,7 +386,7 @@
 	// The lease of a worker that does not answer isn't extended: it may process the order late, and its runs can start
 	// elsewhere only once the lease has expired.
 	if len(w.tasks) > 0 && w.lastReply != 0 && w.machine.State() == workerReady && w.failures == 0 {
-		o.until = w.workerNow(now) + l.grantedLease()
+		o.until = w.leaseUntil(now)
 		if w.processed <= w.acked {
 			o.wait = maxHoldWait
 		}
@@ -385,11 +394,21 @@
 	l.sendHold(w, o, now)
 }
 
+// claimProbe counts the next hold of a worker in probesInFlight, and reports false if limit holds are counted already.
+func (l *Loop) claimProbe(w *worker, limit int) bool {
+	if l.fleet.probesInFlight >= limit {
+		return false
+	}
+	w.probeInFlight = true
+	l.fleet.probesInFlight++
+	return true
+}
+
 // sendHold sends a hold on a traffic goroutine, which posts the answer.
 func (l *Loop) sendHold(w *worker, o HoldOrder, now anvilclock.Millis) {
 	w.holdInFlight, w.lastHold = true, now
 	if o.until != 0 {
-		w.extendLease(o.until, now)
+		w.extendLease(now)
 	}
 	ctx, workers, to, token := l.leadershipContext(), l.workers, w.target(), l.leadership.token
 	l.spawn(func() {
--- a/entry/anvilscheduler/harness_test.go
+++ b/entry/anvilscheduler/harness_test.go
@@ -42,7 +42,7 @@
 
 // addWorker adds a worker and registers it.
 func (fc *fakeCluster) addWorker(id string, capacity anvilsize.Size, labels ...string) *fakeWorker {
-	fw := &fakeWorker{cluster: fc, id: id, incarnation: int64(len(fc.registry) + 1), capacity: capacity,
+	fw := &fakeWorker{cluster: fc, id: id, incarnation: int64(len(fc.registry) + 1), capacity: capacity, startedAt: fc.clock.Now(),
 		runs: map[anviljob.TaskID]*fakeRun{}, highestEnded: map[anviljob.TaskID]int{}}
 	fc.workers[id] = fw
 	fc.registry = append(fc.registry, NewRegistration(id, id+":1", poolName, "d1", labels, capacity, fw.incarnation))
@@ -229,8 +229,11 @@
 	ends         []RunEnd
 	lastEnd      int64
 	starts       int
-	// exited means that nothing accepts connections. unreachable loses all orders. loseAnswers carries orders out and loses the answers. ignoreStops confirms stops
-	// without ending the run. startFault, unless empty, refuses starts.
+	// clockLag is by how much the worker's clock runs slow, in percent; incarnations begin at startedAt.
+	clockLag  anvilclock.Millis
+	startedAt anvilclock.Millis
+	// exited means that nothing accepts connections. unreachable loses all orders. loseAnswers carries orders out and loses
+	// the answers. ignoreStops confirms stops without ending the run. startFault, unless empty, refuses starts.
 	exited      bool
 	unreachable bool
 	loseAnswers bool
@@ -263,9 +266,22 @@
 	fw.ends = append(fw.ends, NewRunEnd(fw.lastEnd, id, r.run, cause, checkpoint))
 }
 
+// maxWorkerLease is the longest lease that a worker grants.
+const maxWorkerLease = anvilclock.Millis(10_000)
+
+// clock returns the time of the worker's own clock, which starts anew with each incarnation.
+func (fw *fakeWorker) clock() anvilclock.Millis {
+	return 100_000 + (fw.cluster.clock.Now()-fw.startedAt)*(100-fw.clockLag)/100
+}
+
+// extendLease extends the leases of all runs until a time of the worker's clock.
+func (fw *fakeWorker) extendLease(until anvilclock.Millis) {
+	fw.leaseExpiry = max(fw.leaseExpiry, min(until, fw.clock()+maxWorkerLease))
+}
+
 // expireRuns ends all runs if their lease has expired.
 func (fw *fakeWorker) expireRuns() {
-	if fw.cluster.clock.Now() < fw.leaseExpiry {
+	if fw.clock() < fw.leaseExpiry {
 		return
 	}
 	for id := range fw.runs {
@@ -277,6 +293,7 @@
 func (fw *fakeWorker) restart() {
 	fw.runs, fw.highestEnded, fw.ends, fw.lastEnd, fw.token = map[anviljob.TaskID]*fakeRun{}, map[anviljob.TaskID]int{}, nil, 0, 0
 	fw.incarnation += 1000
+	fw.startedAt, fw.leaseExpiry = fw.cluster.clock.Now(), 0
 }
 
 // admitOrder makes the checks that precede every order, and records the fencing token.
@@ -290,7 +307,7 @@
 	}
 	fw.expireRuns()
 	if token < fw.token {
-		return nil, NewOrderError(FaultFenced, fc.clock.Now(), nil)
+		return nil, NewOrderError(FaultFenced, fw.clock(), nil)
 	}
 	fw.token = token
 	return fw, nil
@@ -300,7 +317,7 @@
 	if fw.loseAnswers {
 		return 0, NewOrderError(FaultNoReply, 0, errDown)
 	}
-	return fw.cluster.clock.Now(), nil
+	return fw.clock(), nil
 }
 
 // Start implements Workers.
@@ -310,14 +327,17 @@
 		return 0, err
 	}
 	if fw.startFault != "" {
-		return 0, NewOrderError(fw.startFault, fc.clock.Now(), nil)
+		return 0, NewOrderError(fw.startFault, fw.clock(), nil)
+	}
+	if o.Until() <= fw.clock() {
+		return 0, NewOrderError(FaultExpired, fw.clock(), nil)
 	}
-	fw.leaseExpiry = max(fw.leaseExpiry, o.Until())
+	fw.extendLease(o.Until())
 	if r := fw.runs[o.Task()]; r != nil && r.run == o.Run() {
 		return fw.reply()
 	}
 	if o.Run() <= fw.highestEnded[o.Task()] {
-		return 0, NewOrderError(FaultOutdated, fc.clock.Now(), nil)
+		return 0, NewOrderError(FaultOutdated, fw.clock(), nil)
 	}
 	if other := fc.workerOf(o.Task().String()); other != nil {
 		fc.t.Errorf("task %s starts on %s while it runs on %s", o.Task(), fw.id, other.id)
@@ -361,14 +381,14 @@
 		return Report{}, err
 	}
 	if o.Until() != 0 {
-		fw.leaseExpiry = max(fw.leaseExpiry, o.Until())
+		fw.extendLease(o.Until())
 	}
 	fw.ends = slices.DeleteFunc(fw.ends, func(e RunEnd) bool { return e.number <= o.Acked() })
 	var active []Active
 	for id, r := range fw.runs {
 		active = append(active, NewActive(id, r.run, r.checkpoint, r.percent, r.load))
 	}
-	return NewReport(fw.incarnation, fc.clock.Now(), active, slices.Clone(fw.ends)), nil
+	return NewReport(fw.incarnation, fw.clock(), active, slices.Clone(fw.ends)), nil
 }
 
 // Pace implements Workers.
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -249,9 +249,9 @@
 	w := t.worker
 	o := StartOrder{
 		task: t.id, run: t.run, payload: t.stage.job.sub.Spec().Payload(), token: l.leadership.token,
-		until: w.workerNow(now) + l.grantedLease(), checkpoint: t.resumeFrom(), ticket: t.ticket.text,
+		until: w.leaseUntil(now), checkpoint: t.resumeFrom(), ticket: t.ticket.text,
 	}
-	w.extendLease(o.until, now)
+	w.extendLease(now)
 	t.lastProgress = now
 	m := startAnswered{token: l.leadership.token, worker: w, task: t, run: t.run}
 	ctx, workers, to := l.leadershipContext(), l.workers, w.target()
@@ -299,6 +299,11 @@
 	switch e.fault {
 	case FaultNoReply, FaultFenced, FaultReplaced:
 		// tickWorkload sends the start again, unless the leadership or the worker's incarnation ends.
+	case FaultExpired:
+		// The estimate of the worker's clock was too old, and the answer has replaced it. tickWorkload sends the start again.
+		if now-t.startSent > lateStartWindow {
+			l.refuseStart(t, e.fault)
+		}
 	case FaultUnavailable:
 		// The other tasks of a gang would be stopped, so its start is sent again for a while.
 		if !t.stage.step.Gang() || now-t.startSent > gangStartWindow {
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -118,6 +118,11 @@
 	// gangStartWindow is how long starts of a gang's tasks are sent again to workers that refuse them as unavailable. The
 	// other tasks wait for them, and their tickets expire.
 	gangStartWindow = anvilclock.Millis(1200)
+	// lateStartWindow is how long a start is sent again to a worker that answers that its lease has already expired.
+	lateStartWindow = anvilclock.Millis(1200)
+	// clockRefreshAge is the age of the last reply after which an idle worker gets a hold, because the estimate of its
+	// clock becomes less certain: the first lease after the reply is shorter by up to maxClockLag of this age.
+	clockRefreshAge = anvilclock.Millis(25_000)
 	// unresponsiveAfter is the number of consecutive orders without an answer after which a worker counts as unresponsive.
 	unresponsiveAfter = 2
 	// probeInterval is the pause between holds of an unresponsive worker.
