anvilscheduler: a refused connection is no proof that a draining worker has exited

Cause: an order that met a refused connection ended the incarnation of a draining worker without a registry entry, together with its runs, without waiting for their leases. The registry also drops the entry of a worker that doesn't reach the store. In the record, the entry is removed 3.3 s after the begin of the cut, run 2 starts at once, and run 1 ends 1.3 s later with its lease.

Change: a refused connection counts as an order without an answer. What shows that a draining worker has left is the removal of its entry within two heartbeat intervals of its last renewal, because the platform removes the entry of a silent worker after three; without that, the lease decides.

--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -55,8 +55,10 @@
 	probeInFlight bool
 	// backoffUntil is the time up to which the worker gets no starts.
 	backoffUntil anvilclock.Millis
-	// deregisteredAt is when the worker vanished from the registry; 0 while it is registered.
+	// deregisteredAt is when the worker vanished from the registry; 0 while it is registered. The worker has renewed its
+	// entry at renewedAfter or later; 0 when that is not known.
 	deregisteredAt anvilclock.Millis
+	renewedAfter   anvilclock.Millis
 	health         health
 	// candidate is the worker's entry in the newest snapshot of its pool; nil when it was not schedulable then.
 	candidate *candidate
@@ -161,7 +163,7 @@
 // adoptWorkers adds the registered workers and binds adopted runs to their workers.
 func (l *Loop) adoptWorkers(page WorkerPage) {
 	for _, reg := range page.entries {
-		l.applyRegistration(reg)
+		l.applyRegistration(reg, 0)
 	}
 	// Runs at workers that are no longer registered stay bound until their leases have certainly expired.
 	now := l.clock.Now()
@@ -199,8 +201,9 @@
 	return l.newWorker(reg)
 }
 
-// applyRegistration applies an entry of the worker registry, or the removal of one.
-func (l *Loop) applyRegistration(reg Registration) {
+// applyRegistration applies an entry of the worker registry that was written at writtenAfter or later, or the removal of
+// one.
+func (l *Loop) applyRegistration(reg Registration, writtenAfter anvilclock.Millis) {
 	now := l.clock.Now()
 	w := l.fleet.byID[reg.id]
 	if reg.removed {
@@ -223,11 +226,13 @@
 	}
 	if w == nil {
 		w = l.addWorker(reg)
+		w.renewedAfter = writtenAfter
 		if l.leading() {
 			l.holdIfDue(w, now)
 		}
 		return
 	}
+	w.renewedAfter = max(w.renewedAfter, writtenAfter)
 	if w.deregisteredAt != 0 {
 		l.log.Record(anvilevent.WorkerRegistered, "worker", reg.id, "pool", reg.pool, "away", int64(now-w.deregisteredAt))
 		w.deregisteredAt = 0
@@ -245,18 +250,24 @@
 }
 
 // applyDeregistration records that a worker is no longer registered. It may still run, and be partitioned from the
-// platform's store: also a draining worker, whose runs count as ended only once nothing accepts connections at its address,
-// or their leases have expired.
+// platform's store: its runs count as ended only when their leases have expired, or a draining worker has left.
 func (l *Loop) applyDeregistration(w *worker, now anvilclock.Millis) {
 	w.deregisteredAt = now
-	l.log.Record(anvilevent.WorkerDeregistered, "worker", w.id(), "draining", w.registration.draining, "tasks", len(w.tasks))
-	if w.registration.draining && len(w.tasks) == 0 {
+	left := w.registration.draining && l.removedOnDeparture(w, now)
+	l.log.Record(anvilevent.WorkerDeregistered, "worker", w.id(), "draining", w.registration.draining, "tasks", len(w.tasks), "left", left)
+	if left || (w.registration.draining && len(w.tasks) == 0) {
 		l.retire(w, "left")
 		return
 	}
 	l.holdIfDue(w, now)
 }
 
+// removedOnDeparture reports whether the removal of a worker's entry shows that the worker has left: the platform removes
+// the entry of a silent worker only after three heartbeat intervals.
+func (l *Loop) removedOnDeparture(w *worker, now anvilclock.Millis) bool {
+	return w.renewedAfter != 0 && now-w.renewedAfter < departureSilence*l.limits.heartbeat
+}
+
 // replaceIncarnation replaces an incarnation of a worker by a newer one under the same id. The newer one knows none of
 // the earlier runs, but may have received a start that was meant for the earlier incarnation. So the runs stay bound
 // until the newer incarnation has reported what runs there.
@@ -316,7 +327,7 @@
 	registered := make(map[string]bool, len(m.page.entries))
 	for _, reg := range m.page.entries {
 		registered[reg.id] = !reg.removed
-		l.applyRegistration(reg)
+		l.applyRegistration(reg, m.writtenAfter)
 	}
 	if !m.full {
 		return
@@ -464,10 +475,7 @@
 		w.backoffUntil = now + unavailableBackoff
 		w.health.recordUnavailable(now)
 	case FaultNoReply, FaultInvalid, FaultRefused:
-		if e.fault == FaultRefused && w.deregisteredAt != 0 && w.registration.draining {
-			l.retire(w, "left")
-			return
-		}
+		// A refused connection doesn't show that the worker's process has exited: a network partition can refuse it, too.
 		w.failures++
 		if w.failures >= unresponsiveAfter {
 			l.fireWorker(w, "silent")
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -108,11 +108,12 @@
 	shutdownDone chan struct{}
 }
 
-// leaseLimits holds the platform's limits for workers: the longest lease that a worker grants, and the time that it
-// gives a run to stop.
+// leaseLimits holds the platform's limits for workers: the longest lease that a worker grants, the time that it gives a
+// run to stop, and the interval at which it renews its entry in the registry.
 type leaseLimits struct {
 	maxLease  anvilclock.Millis
 	stopGrace anvilclock.Millis
+	heartbeat anvilclock.Millis
 }
 
 // instanceState is the state that every instance has, leader or not. View describes its fields.
@@ -151,7 +152,13 @@
 
 // WithLease sets the longest lease that workers grant, and the time that they give a run to stop.
 func WithLease(longest, stopGrace anvilclock.Millis) Option {
-	return func(l *Loop) { l.limits = leaseLimits{maxLease: longest, stopGrace: stopGrace} }
+	return func(l *Loop) { l.limits.maxLease, l.limits.stopGrace = longest, stopGrace }
+}
+
+// WithHeartbeat sets the interval at which workers renew their entries in the registry. Without it, the removal of an
+// entry never shows that a worker has left.
+func WithHeartbeat(interval anvilclock.Millis) Option {
+	return func(l *Loop) { l.limits.heartbeat = interval }
 }
 
 // WithMachine sets the name of the machine, with which the names of its instances begin. When the leader's name begins
--- a/entry/anvilscheduler/messages.go
+++ b/entry/anvilscheduler/messages.go
@@ -76,11 +76,13 @@
 	page  anvilstorage.Page
 }
 
-// workersRead holds all entries of the worker registry if full, else the changes.
+// workersRead holds all entries of the worker registry if full, else the changes. They were written at the local time
+// writtenAfter or later; 0 when that is not known.
 type workersRead struct {
-	token int64
-	page  WorkerPage
-	full  bool
+	token        int64
+	page         WorkerPage
+	full         bool
+	writtenAfter anvilclock.Millis
 }
 
 // commitAnswered is the result of a commit of the leader: the new version of the leadership row, and the store's time.
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -142,6 +142,9 @@
 	// Runs with checkpoints on a draining worker are stopped once the worker may leave within the platform's stop grace
 	// plus drainStopMargin.
 	drainStopMargin = anvilclock.Millis(600)
+	// departureSilence is the number of heartbeat intervals below which the removal of a worker's entry isn't due to its
+	// silence.
+	departureSilence = 2
 	// deregistrationGrace is how long an entry may be missing from the worker registry before the worker gets no starts.
 	deregistrationGrace = anvilclock.Millis(2500)
 )
--- a/entry/anvilscheduler/watch.go
+++ b/entry/anvilscheduler/watch.go
@@ -265,17 +265,25 @@
 	go l.watchWorkers(ctx, token, m.workers.version)
 }
 
+// watchWorkers follows the worker registry. The changes in an answer were written after the read before it was sent.
 func (l *Loop) watchWorkers(ctx context.Context, token, after int64) {
+	lastSent := anvilclock.Millis(0)
 	l.followFeed(ctx, "worker list", after, fixedInterval(workerFeedInterval), func(after int64) (int64, error) {
 		call, cancel := withTimeout(ctx, pageTimeout(after, feedWait))
 		defer cancel()
+		sent := l.clock.Now()
 		page, err := l.registry.Workers(call, after, feedWait)
 		if err != nil {
 			return 0, err
 		}
-		if full := after == 0; full || len(page.entries) > 0 {
-			l.post(workersRead{token: token, page: page, full: full})
+		m := workersRead{token: token, page: page, full: after == 0}
+		if !m.full {
+			m.writtenAfter = lastSent
 		}
+		if m.full || len(page.entries) > 0 {
+			l.post(m)
+		}
+		lastSent = sent
 		return page.version, nil
 	})
 }
