anvilscheduler, anvilstorage: the record of a job takes as many rows and commits as it needs

Only removing the job's rows from the store would have ended it.

Cause: the progress of all tasks of all occurrences of a job was one row of 45 to 90 bytes a task, and nothing bounded it by the store's 65,536 bytes a row. Commits counted entries and no bytes. Ruled out: a lost answer, a conflict on the leadership row (status 400 throughout).

Change: the record is stored in blocks of 64 tasks of an occurrence, a row each; a commit writes the blocks that have changed, and stops at half of the store's bytes. What it can't hold of a job follows in the next ones: runs, then the state, then the removal of the rows, so that a successor can continue at any point. The starts of a gang wait until all of its bindings are stored. A block with checkpoints too long for a row is stored without them. No job that was accepted before is refused now. The first block keeps the job's id as its key, and a row of an earlier version is read and written anew.

Open: a commit that is refused for good for another reason still ends one leadership after the other.

--- a/entry/anvilscheduler/adopt.go
+++ b/entry/anvilscheduler/adopt.go
@@ -16,7 +16,9 @@
 	cancels := map[string]bool{}
 	unfinished := make(map[string]bool, len(progress.Rows()))
 	for _, r := range progress.Rows() {
-		unfinished[r.Key()] = true
+		if id, _, err := anvilstorage.ParseProgressKey(r.Key()); err == nil {
+			unfinished[id] = true
+		}
 	}
 	var submissions []*anviljob.Submission
 	for _, r := range intake.Rows() {
@@ -42,16 +44,9 @@
 		l.admit(sub)
 	}
 	for _, r := range progress.Rows() {
-		j := l.workload.jobs[r.Key()]
-		if j == nil {
-			continue
-		}
-		runs, err := anvilstorage.ParseProgress(r)
-		if err != nil {
+		if err := l.adoptProgress(r); err != nil {
 			l.log.Fault(anvilevent.RowUnreadable, err, "table", string(anvilstorage.Progress), "key", r.Key())
-			continue
 		}
-		l.adoptRuns(j, runs)
 	}
 	return cancels
 }
@@ -61,7 +56,7 @@
 	for _, j := range l.workload.jobs {
 		// The job may have ended in the last commits of the former leader.
 		if s, ok := l.directory.Find(j.id()); ok {
-			j.storedState = s.State()
+			j.committedState = s.State()
 			if s.State().Ended() {
 				l.resumeEnd(j, s.State())
 			}
@@ -94,12 +89,50 @@
 	case anviljob.Cancelled:
 		j.cancelled = true
 		l.fireJob(j, "cancel")
+	case anviljob.Completed:
+		// All runs were stored before the state. The record may be removed in part, so that tasks seem not to have run.
+		l.fireJob(j, "finish")
+		for _, t := range j.tasks() {
+			l.fireTask(t, "cancel")
+		}
 	default:
 	}
 	l.markChanged(j)
 }
 
-// adoptRuns restores the tasks of a job from its progress record.
+// adoptProgress restores tasks from a row of the progress table. Rows of unknown jobs are ignored.
+func (l *Loop) adoptProgress(r anvilstorage.Row) error {
+	id, name, err := anvilstorage.ParseProgressKey(r.Key())
+	if err != nil {
+		return err
+	}
+	j := l.workload.jobs[id]
+	if j == nil {
+		return nil
+	}
+	runs, err := anvilstorage.ParseProgress(r)
+	if err != nil {
+		return err
+	}
+	l.adoptRuns(j, runs)
+	if s := j.record.find(name); s != nil {
+		s.stored = true
+	}
+	for _, run := range runs {
+		t := l.findTask(anviljob.NewTaskID(id, run.Occurrence(), run.Step(), run.Index()))
+		if t != nil && t.segment.name != name {
+			// The former layout has all tasks of a job in one row. The next commits write the job's rows anew.
+			for _, s := range j.record.segments {
+				j.record.markDirty(s)
+			}
+			l.markChanged(j)
+			break
+		}
+	}
+	return nil
+}
+
+// adoptRuns restores the tasks of a job from a part of its progress record.
 func (l *Loop) adoptRuns(j *job, runs []anvilstorage.Run) {
 	for _, r := range runs {
 		for r.Occurrence() >= j.occurrences && j.occurrences < j.sub.Spec().Repeat().Count() {
--- a/entry/anvilscheduler/commits.go
+++ b/entry/anvilscheduler/commits.go
@@ -7,14 +7,13 @@
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilevent"
-	"anvilhold.org/lib/anviljob"
 )
 
 // commitQueue holds what the leader has to commit. One commit is in flight at a time. Each checks the version of the
 // leadership row and writes the row, so a former leader's commit fails, and a commit that is applied late, after its
 // answer was lost, can't overwrite a newer one.
 type commitQueue struct {
-	// jobs holds the jobs whose records have changed, oldest first.
+	// jobs holds the jobs whose records or states have changed, oldest first. The first one may be in part in a commit.
 	jobs []*job
 	// lastSeq is the sequence number of the newest entry of jobs; storedSeq is the last one that is stored.
 	lastSeq   int64
@@ -65,7 +64,7 @@
 
 func newCommitQueue() commitQueue { return commitQueue{} }
 
-// markChanged queues a job's record for the next commit.
+// markChanged queues a job for the next commit: its state, and the segments of its record that are dirty.
 func (l *Loop) markChanged(j *job) {
 	if j.changed {
 		return
@@ -109,15 +108,19 @@
 	}
 	b.tx.Set(row)
 	n := 0
-	for n < len(q.jobs) && b.tx.Len()+maxEntriesPerJob <= anvilstorage.MaxEntries {
+	for n < len(q.jobs) {
 		j := q.jobs[n]
+		complete, err := l.addJob(b, j, now)
+		if err != nil {
+			return nil, err
+		}
+		if !complete {
+			break
+		}
 		n++
 		j.changed = false
 		b.seq = j.seq
 		b.jobs = append(b.jobs, j)
-		if err := l.addJob(b, j, now); err != nil {
-			return nil, err
-		}
 	}
 	q.jobs = q.jobs[n:]
 	if len(q.jobs) == 0 {
@@ -126,39 +129,6 @@
 	return b, nil
 }
 
-// addJob adds the changed state and the record of a job to a commit.
-func (l *Loop) addJob(b *batch, j *job, now anvilclock.Millis) error {
-	state := anviljob.State(j.machine.State())
-	if state != j.storedState {
-		ended := anvilclock.Millis(0)
-		if state.Ended() {
-			ended = l.storeNow(now)
-		}
-		s := anvilstorage.NewJobState(j.id(), j.sub.Queue(), j.sub.Team(), state, ended)
-		row, err := anvilstorage.StateRow(s)
-		if err != nil {
-			return err
-		}
-		b.tx.Set(row)
-		b.states = append(b.states, stateWrite{job: j, state: s, row: row})
-	}
-	if state.Ended() && j.bound == 0 {
-		b.tx.Delete(anvilstorage.Progress, j.id())
-		j.recordDeleted = true
-		return nil
-	}
-	row, err := anvilstorage.ProgressRow(j.id(), j.runs())
-	if err != nil {
-		return err
-	}
-	b.tx.Set(row)
-	for _, t := range j.unstoredBindings {
-		b.bindings = append(b.bindings, binding{task: t, run: t.run})
-	}
-	j.unstoredBindings = j.unstoredBindings[:0]
-	return nil
-}
-
 // sendBatch commits on a traffic goroutine, which retries until the outcome is known or leaseGrace has passed.
 func (l *Loop) sendBatch(b *batch) {
 	ctx, store, clock := l.ctx, l.store, l.clock
@@ -224,7 +194,6 @@
 func (l *Loop) finishBatch(b *batch, rowVersion int64) {
 	var ends []anvilstorage.Row
 	for _, s := range b.states {
-		s.job.storedState = s.state.State()
 		l.directory.Put(s.state, rowVersion)
 		if s.state.State().Ended() {
 			ends = append(ends, anvilstorage.ReadRow(anvilstorage.States, s.row.Key(), s.row.Value(), rowVersion, false))
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -298,7 +298,7 @@
 	default:
 		t.adoptedFrom = next.id()
 	}
-	l.markChanged(t.stage.job)
+	l.markRunChanged(t)
 }
 
 // retire ends an incarnation of a worker and all runs that are bound to it.
--- a/entry/anvilscheduler/harness_test.go
+++ b/entry/anvilscheduler/harness_test.go
@@ -168,6 +168,16 @@
 	if tx.Len() > anvilstorage.MaxEntries {
 		s.cluster.t.Errorf("a transaction has %d entries, more than the store accepts", tx.Len())
 	}
+	size := 0
+	for _, r := range tx.Sets() {
+		size += r.Size()
+		if n := len(r.Value()); n > anvilstorage.MaxRowBytes {
+			s.cluster.t.Fatalf("row %s of %s has %d bytes, more than the store accepts", r.Key(), r.Table(), n)
+		}
+	}
+	if size > anvilstorage.MaxBytes {
+		s.cluster.t.Fatalf("a transaction has %d bytes, more than the store accepts", size)
+	}
 	var current []anvilstorage.Row
 	ok := true
 	for _, e := range tx.Expects() {
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -94,7 +94,7 @@
 		t.run++
 		t.incarnation = t.worker.registration.incarnation
 		j.unstoredBindings = append(j.unstoredBindings, t)
-		l.markChanged(j)
+		l.markRunChanged(t)
 	}
 	t.startSent, t.confirmedAt, t.percent, t.load, t.pace, t.paceInFlight = 0, 0, 0, 0, 100, false
 	t.startInFlight, t.unconfirmed = false, false
@@ -134,7 +134,7 @@
 	j.bound--
 	l.workload.usage[j.sub.Team()] = l.workload.usage[j.sub.Team()].Sub(s.step.Size())
 	t.worker, t.adoptedFrom = nil, ""
-	l.markChanged(j)
+	l.markRunChanged(t)
 	l.requestPass()
 	if t.machine.State() != taskWaiting {
 		return
@@ -162,7 +162,7 @@
 	s, j := t.stage, t.stage.job
 	l.recountWaiting(s)
 	s.done++
-	l.markChanged(j)
+	l.markRunChanged(t)
 	if s.done < len(s.tasks) {
 		return
 	}
@@ -223,7 +223,7 @@
 		// Another instance may have claimed the leadership. The next commit shows that; its success allows the start.
 		j := b.task.stage.job
 		j.unstoredBindings = append(j.unstoredBindings, b.task)
-		l.markChanged(j)
+		l.markRunChanged(b.task)
 	}
 }
 
@@ -450,7 +450,7 @@
 		s.lastFailedRun = run
 		s.failures++
 	}
-	l.markChanged(s.job)
+	l.markRunChanged(t)
 }
 
 // processFormerRunEnd processes the late end of a run that was treated as lost.
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -90,8 +90,6 @@
 	// readRetryDelay is the delay after a failed read, and the least time between two reads of the changed instances by the
 	// leader.
 	readRetryDelay = anvilclock.Millis(120)
-	// maxEntriesPerJob is how many entries one job may add to a commit.
-	maxEntriesPerJob = 4
 )
 
 // Timing of workers.
--- a/entry/anvilscheduler/workload.go
+++ b/entry/anvilscheduler/workload.go
@@ -69,11 +69,12 @@
 	// changed means that the record is in the commit queue, under the sequence number seq.
 	changed bool
 	seq     int64
-	// recordDeleted means that the newest commit deletes the progress record, because the job has ended and no run is
-	// left.
+	// recordDeleted means that the newest commit deletes the rest of the progress record, because the job has ended and no
+	// run is left.
 	recordDeleted bool
-	// storedState is the state that was last stored.
-	storedState anviljob.State
+	// committedState is the state that was last added to a commit.
+	committedState anviljob.State
+	record         progressRecord
 	// objective is the time in which the job should be done, by the configuration objectiveQueue.
 	objective      anvilclock.Millis
 	objectiveQueue *anvilpolicy.Queue
@@ -121,6 +122,7 @@
 // task is one task of a stage, with its newest run.
 type task struct {
 	stage   *stage
+	segment *segment
 	id      anviljob.TaskID
 	machine anvilchart.Machine
 	worker  *worker
@@ -205,43 +207,12 @@
 	return out
 }
 
-// runs returns the progress record of the job's tasks. Tasks without a run are not in it.
-func (j *job) runs() []anvilstorage.Run {
-	var out []anvilstorage.Run
-	for _, s := range j.stages {
-		for _, t := range s.tasks {
-			if t.run == 0 {
-				continue
-			}
-			phase, worker, incarnation := anvilstorage.Bound, "", t.incarnation
-			switch t.machine.State() {
-			case taskWaiting, "failed", "dropped":
-				phase = anvilstorage.Waiting
-			case taskDone:
-				phase = anvilstorage.Done
-			default:
-				worker = t.worker.id()
-			}
-			if t.formerDone {
-				phase, worker = anvilstorage.Done, ""
-			}
-			failures, failed := t.failures, t.lastFailedRun
-			if s.step.Gang() {
-				failures, failed = s.failures, s.lastFailedRun
-			}
-			run := anvilstorage.NewRun(s.occurrence, s.index, t.id.Index(), phase, t.run)
-			out = append(out, run.WithFailures(failures, failed).WithWorker(worker, incarnation).WithCheckpoint(t.checkpoint))
-		}
-	}
-	return out
-}
-
 // admit adds the job of a submission that was read from the store. Jobs without set times get their first occurrence at
 // once.
 func (l *Loop) admit(sub *anviljob.Submission) *job {
 	now := l.clock.Now()
 	j := &job{
-		loop: l, sub: sub, machine: l.charts.job.NewMachine(), storedState: anviljob.Queued,
+		loop: l, sub: sub, machine: l.charts.job.NewMachine(), committedState: anviljob.Queued,
 		arrived: min(sub.At()-l.workload.storeOffset, now),
 	}
 	l.workload.jobs[sub.ID()] = j
@@ -257,6 +228,7 @@
 // addOccurrence adds the stages of the job's next occurrence.
 func (l *Loop) addOccurrence(j *job) {
 	spec := j.sub.Spec()
+	var tasks []*task
 	paths, depths := spec.CriticalPaths(0), spec.Depths()
 	for i := range spec.Steps() {
 		s := &stage{
@@ -270,7 +242,9 @@
 			})
 		}
 		j.stages = append(j.stages, s)
+		tasks = append(tasks, s.tasks...)
 	}
+	j.record.addTasks(j.occurrences, tasks)
 	j.occurrences++
 }
 
--- a/entry/anvilstorage/fuzz_test.go
+++ b/entry/anvilstorage/fuzz_test.go
@@ -18,6 +18,7 @@
 		_, _ = ParseSubmission(r)
 		_, _ = ParseState(r)
 		_, _ = ParseProgress(r)
+		_, _, _ = ParseProgressKey(string(data))
 		_, _ = ParseLeadership(r)
 		_, _ = ParseInstance(r)
 	})
--- a/entry/anvilstorage/progress.go
+++ b/entry/anvilstorage/progress.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"strconv"
+	"strings"
 )
 
 // Phase is the part of a task's state that a new leader must know.
@@ -84,6 +87,49 @@
 // Checkpoint returns the newest checkpoint of the task; empty when it has none.
 func (r Run) Checkpoint() string { return r.checkpoint }
 
+// SegmentTasks is the number of consecutive tasks of an occurrence whose progress is in one row. With it, a row of tasks
+// whose checkpoints are as long as maxCheckpoint fits into MaxRowBytes.
+const SegmentTasks = 64
+
+// maxCheckpoint is the length up to which checkpoints are stored, in bytes of JSON, when the row would be too large with
+// longer ones.
+const maxCheckpoint = 512
+
+// Segment names a part of a job's progress that is stored in one row: a block of up to SegmentTasks tasks of an
+// occurrence.
+type Segment struct {
+	occurrence int
+	block      int
+}
+
+// NewSegment returns the segment of a block of tasks, numbered from 0, in an occurrence.
+func NewSegment(occurrence, block int) Segment { return Segment{occurrence: occurrence, block: block} }
+
+// Key returns the key of the segment's row. The first segment of a job has the job's id as its key.
+func (s Segment) Key(id string) string {
+	if s == (Segment{}) {
+		return id
+	}
+	return id + "." + strconv.Itoa(s.occurrence) + "." + strconv.Itoa(s.block)
+}
+
+// ParseProgressKey returns the id of the job and the segment of it that a key of the progress table names.
+func ParseProgressKey(key string) (id string, seg Segment, err error) {
+	parts := strings.Split(key, ".")
+	switch len(parts) {
+	case 1:
+		return key, Segment{}, nil
+	case 3:
+		var errs [2]error
+		seg.occurrence, errs[0] = strconv.Atoi(parts[1])
+		seg.block, errs[1] = strconv.Atoi(parts[2])
+		if errors.Join(errs[:]...) == nil && seg.occurrence >= 0 && seg.block >= 0 {
+			return parts[0], seg, nil
+		}
+	}
+	return "", Segment{}, fmt.Errorf("%.80q is no key of a progress row", key)
+}
+
 type runRow struct {
 	Task        [3]int `json:"t"`
 	Phase       int    `json:"p"`
@@ -95,8 +141,9 @@
 	Checkpoint  string `json:"c,omitempty"`
 }
 
-// ProgressRow returns the row that stores the progress of a job's tasks.
-func ProgressRow(id string, runs []Run) (Row, error) {
+// ProgressRow returns the row that stores the progress of the tasks of a segment. When it would be larger than
+// MaxRowBytes, it leaves out long checkpoints: their tasks begin anew if a successor has to start them.
+func ProgressRow(id string, seg Segment, runs []Run) (Row, error) {
 	out := make([]runRow, 0, len(runs))
 	for _, r := range runs {
 		out = append(out, runRow{
@@ -105,10 +152,18 @@
 		})
 	}
 	value, err := json.Marshal(out)
+	if err == nil && len(value) > MaxRowBytes {
+		for i := range out {
+			if text, _ := json.Marshal(out[i].Checkpoint); len(text) > maxCheckpoint {
+				out[i].Checkpoint = ""
+			}
+		}
+		value, err = json.Marshal(out)
+	}
 	if err != nil {
 		return Row{}, fmt.Errorf("progress of %s: %w", id, err)
 	}
-	return NewRow(Progress, id, value), nil
+	return NewRow(Progress, seg.Key(id), value), nil
 }
 
 // ParseProgress decodes a progress row. A phase that is not known is an error.
--- a/entry/anvilstorage/row_test.go
+++ b/entry/anvilstorage/row_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"strings"
 	"testing"
 
 	"anvilhold.org/lib/anviljob"
@@ -49,13 +50,42 @@
 	t.Run("progress survives encoding and decoding", func(t *testing.T) {
 		// Guards against a new leader that misses a run, a failure or a checkpoint.
 		want := []Run{NewRun(1, 2, 3, Bound, 4).WithFailures(2, 3).WithWorker("w1", 99).WithCheckpoint("c"), NewRun(0, 0, 0, Done, 1)}
-		row, err := ProgressRow("j1", want)
+		row, err := ProgressRow("j1", NewSegment(1, 0), want)
 		if err != nil {
 			t.Fatal(err)
 		}
 		got, err := ParseProgress(row)
 		assertSame(t, "runs", got, want, err)
 	})
+	t.Run("the key of a progress row names its job and segment", func(t *testing.T) {
+		// Guards against a new leader that misses a part of a job's record, also of one that an earlier version has stored.
+		for key, want := range map[string]Segment{"j1": {}, "j1.0.1": NewSegment(0, 1), "j1.7.0": NewSegment(7, 0)} {
+			id, seg, err := ParseProgressKey(key)
+			assertSame(t, "segment", seg, want, err)
+			assertSame(t, "id and key", []string{id, seg.Key(id)}, []string{"j1", key}, nil)
+		}
+		for _, key := range []string{"j1.0", "j1.a.0", "j1.0.-1", "j1.0.0.0", "j1..", "j1.99999999999999999999.0"} {
+			if _, _, err := ParseProgressKey(key); err == nil {
+				t.Fatalf("%s was accepted", key)
+			}
+		}
+	})
+	t.Run("a progress row is no larger than the store accepts", func(t *testing.T) {
+		// Guards against a job whose record can't be stored because of long checkpoints.
+		for _, text := range []string{strings.Repeat("c", 16), strings.Repeat("c", 800), strings.Repeat("c", 5000), strings.Repeat("\x01", 600)} {
+			var runs []Run
+			for i := range SegmentTasks {
+				runs = append(runs, NewRun(9999, 63, 900+i, Bound, 12345).WithFailures(9, 12345).WithWorker(strings.Repeat("w", 200), 1<<50).WithCheckpoint(text))
+			}
+			row, err := ProgressRow("j1", NewSegment(9999, 15), runs)
+			if err != nil || len(row.Value()) > MaxRowBytes {
+				t.Fatalf("checkpoints of %d bytes: a row of %d bytes, %v", len(text), len(row.Value()), err)
+			}
+			got, err := ParseProgress(row)
+			assertSame(t, "runs", len(got), SegmentTasks, err)
+			assertSame(t, "worker", got[0].Worker(), runs[0].Worker(), nil)
+		}
+	})
 	t.Run("a malformed progress row is an error", func(t *testing.T) {
 		// Guards against reading a malformed row as one without runs.
 		for _, text := range []string{`{`, `7`, `[{"p":9}]`} {
--- a/entry/anvilstorage/tx.go
+++ b/entry/anvilstorage/tx.go
@@ -3,6 +3,8 @@
 package anvilstorage
 
 import (
+	"encoding/base64"
+
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilpolicy"
 )
@@ -70,14 +72,30 @@
 // Value returns the row's value, which the caller must not modify.
 func (r Row) Value() []byte { return r.value }
 
+// Size returns an upper bound of what the row takes in a transaction, in bytes of the store's encoding.
+func (r Row) Size() int {
+	return base64.StdEncoding.EncodedLen(len(r.value)) + len(r.key) + entryOverhead
+}
+
 // Version returns the version of the commit that wrote the row; 0 when the row does not exist or was not read.
 func (r Row) Version() int64 { return r.version }
 
 // Deleted reports whether this is the record of a deletion.
 func (r Row) Deleted() bool { return r.deleted }
 
-// MaxEntries is the largest number of conditions, writes and deletions in a transaction that the store accepts.
-const MaxEntries = 100
+// Limits of the store: it refuses a larger transaction as a whole.
+const (
+	// MaxEntries is the largest number of conditions, writes and deletions in a transaction.
+	MaxEntries = 100
+	// MaxBytes bounds the size of a transaction in bytes, as Tx.Size counts it.
+	MaxBytes = 1_000_000
+	// MaxRowBytes is the largest size of a row's value in bytes.
+	MaxRowBytes = 65_536
+)
+
+// entryOverhead is the most that an entry of a transaction takes in the store's encoding, in bytes, beside its key and
+// its value.
+const entryOverhead = 100
 
 // Tx is an atomic transaction on rows of one partition. It is not safe for concurrent use.
 type Tx struct {
@@ -119,6 +137,17 @@
 	return n
 }
 
+// Size returns an upper bound of the transaction's size in the store's encoding, in bytes, which MaxBytes limits.
+func (t *Tx) Size() int {
+	n := entryOverhead
+	for _, entries := range [][]Row{t.expects, t.sets, t.deletes} {
+		for _, r := range entries {
+			n += r.Size()
+		}
+	}
+	return n
+}
+
 // Expects returns the conditions on the scheduler's rows, as rows without values.
 func (t *Tx) Expects() []Row { return t.expects }
 
--- a/lib/anviljob/job.go
+++ b/lib/anviljob/job.go
@@ -45,8 +45,7 @@
 	repeat  Repeat
 }
 
-// Bounds of a job. The record of a job's progress takes about 60 bytes a task and must fit a row of the
-// store.
+// Bounds of a job; maxTasks bounds the tasks of one occurrence.
 const (
 	maxSteps   = 64
 	maxTasks   = 1000
