anvilintake: submissions are stored in transactions that the store accepts

A submission with long texts could exceed a row, and 30 large submissions the bytes of a transaction; the store refuses the whole transaction then, and with it all callers whose submissions share it, until each gives up after 2 s. Nobody has reported it.

Change: a submission whose row the store would refuse is refused at once as invalid, with its size and the limit; a batch ends at half of a transaction's bytes. Jobs within the sites' figures are far below: a payload of 4,000 bytes and five steps take under 7 kB unless nearly every byte needs escaping.

TestSubmissionTooLargeToStore and "a batch is no larger than the store accepts" (30 submissions, 2,630,770 bytes) fail without the change and pass with it.

--- a/entry/anvilintake/batch.go
+++ b/entry/anvilintake/batch.go
@@ -107,16 +107,23 @@
 	}
 }
 
+// maxBatchBytes is the size of a batch's rows above which no other submission is added.
+const maxBatchBytes = anvilstorage.MaxBytes / 2
+
 // nextBatch removes the next batch from the queue: submissions that were admitted under the same configuration as the
-// first one. The transaction has one condition on the configuration.
+// first one, as many as a transaction can hold. The transaction has one condition on the configuration.
 func (b *batcher) nextBatch() []*batchEntry {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var batch, rest []*batchEntry
+	size := 0
 	for _, e := range b.waiting {
-		if len(batch) < maxBatch && (len(batch) == 0 || e.policyRowVersion == batch[0].policyRowVersion) {
+		if len(batch) < maxBatch && size < maxBatchBytes && (len(batch) == 0 || e.policyRowVersion == batch[0].policyRowVersion) {
 			e.sent = true
 			batch = append(batch, e)
+			for _, r := range e.rows {
+				size += r.Size()
+			}
 			continue
 		}
 		rest = append(rest, e)
--- a/entry/anvilintake/intake.go
+++ b/entry/anvilintake/intake.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -300,12 +301,16 @@
 	}
 }
 
-// submission returns the rows that store a job: one in the intake table and one in the states table.
+// submission returns the rows that store a job: one in the intake table and one in the states table. It fails when the
+// store would refuse them, because that would refuse the submissions that share their transaction, too.
 func submission(sub *anviljob.Submission, state anvilstorage.JobState) ([]anvilstorage.Row, error) {
 	intake, err := anvilstorage.SubmissionRow(sub)
 	if err != nil {
 		return nil, err
 	}
+	if n := len(intake.Value()); n > anvilstorage.MaxRowBytes {
+		return nil, fmt.Errorf("the job takes %d bytes; at most %d can be stored", n, anvilstorage.MaxRowBytes)
+	}
 	states, err := anvilstorage.StateRow(state)
 	if err != nil {
 		return nil, err
--- a/entry/anvilintake/intake_test.go
+++ b/entry/anvilintake/intake_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -287,6 +289,20 @@
 	}
 }
 
+// Guards against a submission that the store refuses as too large together with all those that share its transaction.
+func TestSubmissionTooLargeToStore(t *testing.T) {
+	h := newHarness(t)
+	label := strings.Repeat("l", anvilstorage.MaxRowBytes)
+	large, err := anviljob.NewSpec("p", []anviljob.Step{anviljob.NewStep(1, anvilsize.New(1, 1, 0), anviljob.WithLabel(label))}, anviljob.Repeat{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	assertResult(t, h.in.Submit(t.Context(), NewCall("h", "/k/"+goodID, "key"), large), Invalid)
+	if h.store.commits != 0 {
+		t.Fatalf("%d commits", h.store.commits)
+	}
+}
+
 func TestBatch(t *testing.T) {
 	row := func(id string) []anvilstorage.Row {
 		return []anvilstorage.Row{anvilstorage.NewRow(anvilstorage.Intake, id, nil), anvilstorage.NewRow(anvilstorage.States, id, nil)}
@@ -325,6 +341,22 @@
 			t.Fatalf("transactions of %v jobs", s.sizes)
 		}
 	})
+	t.Run("a batch is no larger than the store accepts", func(t *testing.T) {
+		// Guards against a transaction of large submissions that the store refuses as a whole, again and again.
+		b := newBatcher(&store{})
+		for i := range maxBatch {
+			rows := row(strconv.Itoa(i))
+			rows[0] = anvilstorage.NewRow(anvilstorage.Intake, rows[0].Key(), make([]byte, anvilstorage.MaxRowBytes))
+			b.waiting = append(b.waiting, &batchEntry{id: rows[0].Key(), rows: rows, done: make(chan struct{})})
+		}
+		for total := 0; total < maxBatch; {
+			batch := b.nextBatch()
+			if n := transaction(batch).Size(); len(batch) == 0 || n > anvilstorage.MaxBytes {
+				t.Fatalf("a batch of %d submissions has %d bytes", len(batch), n)
+			}
+			total += len(batch)
+		}
+	})
 	t.Run("a stored id does not fail the others of its batch", func(t *testing.T) {
 		// Guards against a submission that fails because the id of another submission in its batch is already stored.
 		s := &store{errs: []error{anvilstorage.NewConflict([]anvilstorage.Row{anvilstorage.ReadRow(anvilstorage.States, "a", nil, 4, false)}, nil)}}
