--- a/entry/anvilscheduler/fault_test.go
+++ b/entry/anvilscheduler/fault_test.go
@@ -224,8 +224,10 @@
 		second.ignoreStops, first.unreachable = true, false
 		first.capacity = core(0)
 		fc.submit("j2", plainQueue, "", anviljob.NewStep(1, core(4)))
-		i := slices.IndexFunc(fc.registry, func(reg Registration) bool { return reg.id == first.id })
-		fc.registry[i].capacity = core(0)
+		fc.setEntry(first.id, func(r Registration) Registration {
+			r.capacity = core(0)
+			return r
+		})
 		fc.advance(reactionTime, h)
 		assertState(t, fc, anviljob.Completed)
 		assertRunning(t, fc, "j1.0.0.0")
--- a/entry/anvilscheduler/headroom_test.go
+++ b/entry/anvilscheduler/headroom_test.go
@@ -49,9 +49,12 @@
 	}
 }
 
-func assertAllEnded(t *testing.T, fc *fakeCluster, jobs int) {
+// burstJobs is the number of jobs of a burst, which are named j00, j01 and so on.
+const burstJobs = 30
+
+func assertBurstEnded(t *testing.T, fc *fakeCluster) {
 	t.Helper()
-	for i := range jobs {
+	for i := range burstJobs {
 		assertEqual(t, fmt.Sprintf("state of job %d", i), fc.state(fmt.Sprintf("j%02d", i)), anviljob.Completed)
 	}
 }
@@ -59,57 +62,57 @@
 // Guards against accepted jobs that never start on idle workers: the headroom for more urgent queues must not keep out
 // work that is too large for what is left beside it, once its job is beyond the team's share or too late to be of worth.
 func TestHeadroomStarvesNoJob(t *testing.T) {
-	const limit, jobs = 16, 30
+	const limit = 16
 	estimate := anviljob.WithEstimate(300)
 	for _, share := range []int64{5, 8, 12, 14, 15, 16} {
 		t.Run(fmt.Sprintf("a burst of tasks of %d of %d cores", share, limit), func(t *testing.T) {
 			fc, h := startedDeferrable(t, limit)
-			for i := range jobs {
+			for i := range burstJobs {
 				fc.submit(fmt.Sprintf("j%02d", i), batchQueue, smallTeam, anviljob.NewStep(1, core(share), estimate))
 				fc.advance(75, h)
 			}
-			fc.advanceEnding(jobs*900, h)
-			assertAllEnded(t, fc, jobs)
+			fc.advanceEnding(burstJobs*900, h)
+			assertBurstEnded(t, fc)
 		})
 		t.Run(fmt.Sprintf("a burst of gangs of %d of %d cores", share, limit), func(t *testing.T) {
 			fc, h := startedDeferrable(t, limit)
-			for i := range jobs {
+			for i := range burstJobs {
 				fc.submit(fmt.Sprintf("j%02d", i), batchQueue, smallTeam, anviljob.NewStep(int(share), core(1), estimate, anviljob.WithGang(true, false)))
 				fc.advance(75, h)
 			}
-			fc.advanceEnding(jobs*900, h)
-			assertAllEnded(t, fc, jobs)
+			fc.advanceEnding(burstJobs*900, h)
+			assertBurstEnded(t, fc)
 		})
 	}
 	lasting := anviljob.NewStep(1, core(7), anviljob.WithLongRunning(true))
 	t.Run("beside a lasting task of under half of the limit", func(t *testing.T) {
 		fc, h := startedDeferrable(t, limit)
 		fc.submit("lasting", quickQueue, smallTeam, lasting)
-		for i := range jobs {
+		for i := range burstJobs {
 			fc.submit(fmt.Sprintf("j%02d", i), batchQueue, smallTeam, anviljob.NewStep(1, core(9), estimate))
 			fc.advance(75, h)
 		}
-		fc.advanceEnding(jobs*900, h)
-		assertAllEnded(t, fc, jobs)
+		fc.advanceEnding(burstJobs*900, h)
+		assertBurstEnded(t, fc)
 	})
 	t.Run("beside lasting tasks of over half of the limit", func(t *testing.T) {
 		fc, h := startedDeferrable(t, limit)
 		fc.submit("lasting", quickQueue, smallTeam, anviljob.NewStep(1, core(10), anviljob.WithLongRunning(true)))
-		for i := range jobs {
+		for i := range burstJobs {
 			fc.submit(fmt.Sprintf("j%02d", i), batchQueue, smallTeam, anviljob.NewStep(1, core(6), estimate))
 			fc.advance(75, h)
 		}
-		fc.advanceEnding(maxDeferral+jobs*900, h)
-		assertAllEnded(t, fc, jobs)
+		fc.advanceEnding(maxDeferral+burstJobs*900, h)
+		assertBurstEnded(t, fc)
 	})
 	t.Run("of over the pool's share", func(t *testing.T) {
 		fc, h := startedDeferrable(t, 0)
-		for i := range jobs {
+		for i := range burstJobs {
 			fc.submit(fmt.Sprintf("j%02d", i), batchQueue, smallTeam, anviljob.NewStep(4, core(60), estimate, anviljob.WithGang(true, false)))
 			fc.advance(75, h)
 		}
-		fc.advanceEnding(jobs*900, h)
-		assertAllEnded(t, fc, jobs)
+		fc.advanceEnding(burstJobs*900, h)
+		assertBurstEnded(t, fc)
 	})
 }
 
