anvilcontrol: fences without an answer don't prolong a lease beyond the owner's wait

A worker that gets the fences while its answers are lost renews its lease and works on, and after 10 s the owner starts its batch task elsewhere: it runs twice.

Change: the lease counts from the last fence that renews it, answered or not. A worker that doesn't answer gets fences with the rest of that lease, which can't prolong it, and a full one at once when it answers. The wire and the worker's rules stay as they are.

--- a/entry/anvilcontrol/fleet.go
+++ b/entry/anvilcontrol/fleet.go
@@ -169,26 +169,35 @@
 	s.workers[reg.id].boot = m.Boot()
 }
 
-// renewLeases sends the fences that are due, and expires workers whose last answered fence is older than the lease and
-// its margin.
+// renewLeases sends the fences that are due, and expires workers whose last renewed lease and its margin have passed.
 func (l *Loop) renewLeases(now anvilclock.Millis) {
 	for _, w := range l.workers {
 		if (now >= w.renewAt || now >= w.nextEnd) && !w.fencing {
 			l.sendFence(w, now)
 		}
-		if now-w.fencedAt >= l.settings.lease+l.settings.margin {
+		if now-w.leasedAt >= l.settings.lease+l.settings.margin {
 			l.fireWorker(w, "expire")
 		}
 	}
 }
 
+// sendFence sends a fence. It renews the lease of a worker that answers, and of one without runs. For any other worker it
+// carries the rest of the lease: the worker may carry it out without an answer, and must not go on for longer than this
+// instance waits.
 func (l *Loop) sendFence(w *worker, now anvilclock.Millis) {
-	w.fencing = true
 	w.renewAt = now + renewInterval
 	w.nextEnd = w.renewAt
+	if w.machine.State() == workerReady || w.machine.State() == workerExpired {
+		w.leasedAt = now
+	}
+	lease := w.leasedAt + l.settings.lease - now
+	if lease <= 0 {
+		return
+	}
+	w.fencing = true
 	ref := l.calls.ref()
 	l.calls.fences[ref] = fenceCall{worker: w, sent: now}
-	l.backends.Fence(ref, w.resources.Addr(), Fence{shard: w.shard.name, epoch: w.shard.epoch, lease: l.settings.lease, cursor: w.cursor})
+	l.backends.Fence(ref, w.resources.Addr(), Fence{shard: w.shard.name, epoch: w.shard.epoch, lease: lease, cursor: w.cursor})
 }
 
 // fenced handles the answer to a fence: the tasks that run at the worker and those that have ended.
@@ -235,6 +244,8 @@
 	l.matchRuns(w, m.tasks, sent)
 	w.updateNextEnd(l.clock.Now())
 	if w.machine.State() != workerReady {
+		// The fence may have carried only the rest of the lease.
+		w.renewAt = 0
 		l.log.Record(anvilevent.WorkerFenced, "worker", w.resources.ID(), "shard", w.shard.name, "epoch", w.shard.epoch, "tasks", len(m.tasks))
 	}
 	l.fireWorker(w, "fenced")
--- a/entry/anvilcontrol/worker.go
+++ b/entry/anvilcontrol/worker.go
@@ -32,6 +32,7 @@
 	cursor     int64             // position in the worker's list of ended tasks up to which they were handled
 	clock      anvilclock.Millis // the worker's clock when it answered the last fence
 	fencedAt   anvilclock.Millis // when the last fence that was answered was sent
+	leasedAt   anvilclock.Millis // when the last fence that renews the lease was sent; it counts also without an answer
 	renewAt    anvilclock.Millis
 	nextEnd    anvilclock.Millis // when the next of its batch tasks is expected to end
 	fencing    bool
@@ -45,7 +46,7 @@
 	return &worker{
 		resources: anvilworker.New(reg.id, anvilworker.WithAddr(reg.addr), anvilworker.WithLocation(reg.domain, reg.region),
 			anvilworker.WithPool(reg.pool), anvilworker.WithCapacity(reg.size)),
-		shard: s, machine: m, fencedAt: now, leaving: reg.leaving, runs: map[string]*run{},
+		shard: s, machine: m, fencedAt: now, leasedAt: now, leaving: reg.leaving, runs: map[string]*run{},
 	}
 }
 
