--- a/entry/anvilscheduler/record_test.go
+++ b/entry/anvilscheduler/record_test.go
@@ -122,21 +122,28 @@
 		assertEqual(t, "starts", fc.starts(), 600)
 		assertEqual(t, "records left", fc.store.count(anvilstorage.Progress), 0)
 	})
-	t.Run("stored in one row by an earlier version", func(t *testing.T) {
-		// Guards against a rolling update after which the new version doesn't know what ran.
-		fc, h := startedLarge(t, 3, 84, 2)
-		finished := fc.finishAll(300, h)
-		fc.advance(50, h)
-		h.paused = true
-		fc.joinRecord(t, "j1")
-		next := fc.newHarness("e2")
-		fc.advanceWorking(takeoverTime, next)
-		fc.finishAll(3*84*2-finished, next)
-		fc.advance(10*reactionTime, next)
-		assertState(t, fc, anviljob.Completed)
-		assertEqual(t, "starts", fc.starts(), 3*84*2)
-		assertEqual(t, "records left", fc.store.count(anvilstorage.Progress), 0)
-	})
+	for _, ended := range []int{0, 300} {
+		t.Run(fmt.Sprintf("stored in one row by an earlier version, %d tasks ended", ended), func(t *testing.T) {
+			// Guards against a rolling update after which the new version doesn't know what ran, or keeps outdated rows.
+			const total = 3 * 84 * 2
+			fc, h := startedLarge(t, 3, 84, 2)
+			finished := fc.finishAll(ended, h)
+			fc.advance(reactionTime, h)
+			h.paused = true
+			fc.joinRecord(t, "j1")
+			next := fc.newHarness("e2")
+			fc.advanceWorking(takeoverTime, next)
+			first, err := anvilstorage.ParseProgress(fc.store.get(anvilstorage.Progress, "j1"))
+			if err != nil || len(first) > anvilstorage.SegmentTasks {
+				t.Fatalf("the first row has %d tasks after the takeover (%v)", len(first), err)
+			}
+			fc.finishAll(total-finished, next)
+			fc.advance(10*reactionTime, next)
+			assertState(t, fc, anviljob.Completed)
+			assertEqual(t, "starts", fc.starts(), total)
+			assertEqual(t, "records left", fc.store.count(anvilstorage.Progress), 0)
+		})
+	}
 }
 
 // joinRecord replaces the rows of a job's record by one row, as earlier versions stored it.
@@ -158,26 +165,50 @@
 	fc.store.rows[rowKey{anvilstorage.Progress, anvilstorage.FleetPartition, id}] = anvilstorage.ReadRow(row.Table(), id, row.Value(), fc.store.version, false)
 }
 
-// Guards against a gang of which a part starts before the rest is stored, when its record takes more than one commit.
-func TestRecordOfLargeGang(t *testing.T) {
-	fc := newFakeCluster(t, testPolicy())
-	fc.addWorker("w1", core(1000))
-	h := fc.newHarness("e1")
-	fc.advance(firstClaimTime, h)
-	checkpoint := strings.Repeat("c", 900)
-	fc.submit("j1", plainQueue, "", anviljob.NewStep(1000, core(1), anviljob.WithGang(true, false), anviljob.WithCheckpoints(true)))
-	for range 200 {
-		fc.advance(25, h)
-		if j := h.loop.workload.jobs["j1"]; j != nil {
-			for _, task := range j.tasks() {
-				task.checkpoint = checkpoint
+// Guards against runs that start before their bindings are stored, and a gang of which a part starts before the rest is
+// stored, when the record takes more than one commit. The store fails the test when it gets more than it accepts.
+func TestBindingsInSeveralCommits(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang %t", gang), func(t *testing.T) {
+			fc := newFakeCluster(t, testPolicy())
+			h := fc.newHarness("e1")
+			fc.advance(firstClaimTime, h)
+			fc.submit("j1", plainQueue, "", anviljob.NewStep(1000, core(1), anviljob.WithGang(gang, false), anviljob.WithCheckpoints(true)))
+			fc.advance(reactionTime, h)
+			for _, task := range h.loop.workload.jobs["j1"].tasks() {
+				task.checkpoint = strings.Repeat("c", 800)
+			}
+			fc.addWorker("w1", core(1000))
+			for range 40 {
+				fc.advance(25, h)
+				fc.assertRunningIsStored()
+				if n := len(fc.running()); gang && n != 0 {
+					assertEqual(t, "running tasks of the gang", n, 1000)
+				}
 			}
+			assertEqual(t, "running tasks", len(fc.running()), 1000)
+			assertEqual(t, "rows of the record", fc.store.count(anvilstorage.Progress), 16)
+		})
+	}
+}
+
+// assertRunningIsStored checks that the store has the binding of each task that runs.
+func (fc *fakeCluster) assertRunningIsStored() {
+	fc.t.Helper()
+	stored := map[string]bool{}
+	for key, r := range fc.store.rows {
+		if key.table != anvilstorage.Progress {
+			continue
+		}
+		id, _, _ := anvilstorage.ParseProgressKey(r.Key())
+		runs, _ := anvilstorage.ParseProgress(r)
+		for _, run := range runs {
+			stored[anviljob.NewTaskID(id, run.Occurrence(), run.Step(), run.Index()).String()] = true
 		}
-		if n := len(fc.running()); n != 0 {
-			assertEqual(t, "running tasks of the gang", n, 1000)
-			break
+	}
+	for _, task := range fc.running() {
+		if !stored[task] {
+			fc.t.Fatalf("task %s runs, and its binding is not stored", task)
 		}
 	}
-	assertEqual(t, "running tasks of the gang", len(fc.running()), 1000)
-	assertEqual(t, "rows of the record", fc.store.count(anvilstorage.Progress), 16)
 }
