anvilscheduler: wait for leases of former leaders only as long as they last

Cause: a new leader counted the leases of a worker that doesn't answer from its own takeover, with the former leader's grace of 8 s and a whole lease, and each takeover began the count anew. The class of fault: a time-out that stands for what could be known. The grace itself can't be dropped: without it an outage of the store ends all work after one lease.

Change: the leadership row says until when leases may be extended, on the store's clock, 0.8 s after each renewal. A leader that can't renew goes on only while all of its stored witnesses, the instances that answered it last, confirm it; a witness that becomes leader reckons with what it has confirmed, and an instance that is no witness waits for the whole grace, as after a leader of an earlier program. Bounds of the leases of unresponsive workers are stored, and removed before the leases are extended again, so that later takeovers don't prolong the wait. An adopted batch task still waits for the longest lease, as its start may not have been answered.

TestLoadReadsStatesFirst counts one more table.

--- a/entry/anvillink/client.go
+++ b/entry/anvillink/client.go
@@ -131,6 +131,21 @@
 	return anvilclock.Millis(out.GetAge()), nil
 }
 
+// ConfirmOutage asks the instance at addr to confirm that the leader with a token may go on extending leases.
+func (l *Links) ConfirmOutage(ctx context.Context, addr string, token int64) (bool, error) {
+	conn, err := l.connection(addr)
+	if err != nil {
+		return false, err
+	}
+	in := &Doubt{}
+	in.SetToken(token)
+	out, err := NewLinkClient(conn).Reach(ctx, in)
+	if err != nil {
+		return false, err
+	}
+	return out.GetConfirmed(), nil
+}
+
 // States returns the job states that the instance at addr has read with a version of the store after the given one; 0
 // returns all. It fails when that instance has not read them yet.
 func (l *Links) States(ctx context.Context, addr string, after int64) (anvilstorage.Page, error) {
--- a/entry/anvillink/link_test.go
+++ b/entry/anvillink/link_test.go
@@ -38,6 +38,7 @@
 
 func (c control) ReceiveRows(rows []anvilstorage.Row) { c.rows <- rows }
 func (control) StoreReplyAge() anvilclock.Millis      { return 42 }
+func (control) ConfirmOutage(token int64) bool        { return token == 7 }
 func (control) States(after int64) (anvilstorage.Page, error) {
 	if after == 0 {
 		return anvilstorage.Page{}, errors.New("not read")
@@ -216,6 +217,18 @@
 	})
 }
 
+// TestConfirmOutage guards against a confirmation for another leader than the one that asks.
+func TestConfirmOutage(t *testing.T) {
+	l, _ := links(t)
+	addr := serve(t, advisor{}, control{})
+	for token, want := range map[int64]bool{0: false, 7: true, 8: false} {
+		got, err := l.ConfirmOutage(context.Background(), addr, token)
+		if err != nil || got != want {
+			t.Errorf("token %d: got %v, %v, want %v", token, got, err, want)
+		}
+	}
+}
+
 func TestNotifyLeadershipEnded(t *testing.T) {
 	// Without the notification, followers campaign only after the row of a partitioned leader has not changed for a while.
 	l, _ := links(t)
--- a/entry/anvillink/server.go
+++ b/entry/anvillink/server.go
@@ -33,6 +33,7 @@
 type Control interface {
 	ReceiveRows(rows []anvilstorage.Row)
 	StoreReplyAge() anvilclock.Millis
+	ConfirmOutage(token int64) bool
 	States(after int64) (anvilstorage.Page, error)
 	LeadershipEnded(token int64)
 }
@@ -104,9 +105,12 @@
 }
 
 // Reach implements LinkServer.
-func (h *handler) Reach(context.Context, *Doubt) (*Contact, error) {
+func (h *handler) Reach(_ context.Context, m *Doubt) (*Contact, error) {
 	out := &Contact{}
 	out.SetAge(int64(h.control.StoreReplyAge()))
+	if token := m.GetToken(); token != 0 {
+		out.SetConfirmed(h.control.ConfirmOutage(token))
+	}
 	return out, nil
 }
 
--- a/entry/anvilscheduler/adopt.go
+++ b/entry/anvilscheduler/adopt.go
@@ -200,4 +200,6 @@
 	t.machine = l.charts.task.NewMachine()
 	l.fireTask(t, "place")
 	l.fireTask(t, "committed")
+	// The former leader may not have got an answer to the start.
+	t.lastStart = l.extendedUntil(l.clock.Now())
 }
--- a/entry/anvilscheduler/commits.go
+++ b/entry/anvilscheduler/commits.go
@@ -49,6 +49,13 @@
 	seq      int64
 	renewals int64
 	sent     anvilclock.Millis
+	// extendsUntil is the local time until which the row allows extensions of leases. row returns the leadership row that
+	// allows them until a local time; the traffic goroutine calls it.
+	extendsUntil anvilclock.Millis
+	row          func(until anvilclock.Millis) (anvilstorage.Row, error)
+	// unbounded are the workers whose bounds of leases the commit removes, witnesses those that it stores, or nil.
+	unbounded []string
+	witnesses []string
 	// rowVersion is the version of the leadership row after the commit, 0 when it was not applied or the outcome is
 	// unknown. done is closed once rowVersion is final.
 	rowVersion atomic.Int64
@@ -81,7 +88,7 @@
 	if q.inflight != nil || (!l.leading() && !l.loading()) {
 		return
 	}
-	if len(q.jobs) == 0 && now-l.leadership.lastRenewed < renewInterval {
+	if len(q.jobs) == 0 && len(l.fleet.bounds.queued) == 0 && now-l.leadership.lastRenewed < renewInterval {
 		return
 	}
 	if now-q.lastSent < minCommitInterval {
@@ -102,11 +109,20 @@
 	b := &batch{tx: anvilstorage.NewTx(anvilstorage.FleetPartition), renewals: q.renewals + 1, seq: q.storedSeq,
 		done: make(chan struct{})}
 	b.tx.Expect(anvilstorage.Leaderships, anvilstorage.LeadershipKey, ls.rowVersion)
-	row, err := anvilstorage.LeadershipRow(anvilstorage.NewLeadership(l.self.Name(), l.self.Addr(), ls.token, b.renewals))
+	m, clock, e := anvilstorage.NewLeadership(l.self.Name(), l.self.Addr(), ls.token, b.renewals), l.storeTime, ls.extension
+	b.extendsUntil = now + extensionValidity
+	b.row = func(until anvilclock.Millis) (anvilstorage.Row, error) { return extensionRow(m, clock, until, e) }
+	row, err := b.row(b.extendsUntil)
 	if err != nil {
 		return nil, err
 	}
 	b.tx.Set(row)
+	if err := l.addBounds(b); err != nil {
+		return nil, err
+	}
+	if err := l.addWitnesses(b); err != nil {
+		return nil, err
+	}
 	n := 0
 	for n < len(q.jobs) {
 		j := q.jobs[n]
@@ -134,11 +150,12 @@
 	ctx, store, clock := l.ctx, l.store, l.clock
 	l.spawn(func() {
 		defer close(b.done)
-		begin := clock.Now()
+		begin, tx, until := clock.Now(), b.tx, b.extendsUntil
 		for {
 			b.sent = clock.Now()
-			receipt, err := commitWithTimeout(ctx, store, b.tx)
+			receipt, err := commitWithTimeout(ctx, store, tx)
 			if err == nil {
+				b.extendsUntil = until
 				b.rowVersion.Store(receipt.Version())
 				l.post(commitAnswered{batch: b, rowVersion: receipt.Version(), now: receipt.Now()})
 				return
@@ -152,6 +169,11 @@
 				l.post(commitAnswered{batch: b, err: err})
 				return
 			}
+			// A row with the time of the first attempt would allow the extension of no lease when it is applied.
+			until = clock.Now() + extensionValidity
+			if row, err := b.row(until); err == nil {
+				tx = b.tx.Replace(row)
+			}
 		}
 	})
 }
@@ -182,6 +204,10 @@
 	q.inflight = nil
 	q.renewals, q.storedSeq = m.batch.renewals, m.batch.seq
 	l.leadership.rowVersion, l.leadership.lastRenewed = rowVersion, m.batch.sent
+	l.leadership.extension.until = m.batch.extendsUntil
+	if m.err == nil {
+		l.storeTime.observe(m.batch.sent, l.clock.Now(), m.now)
+	}
 	if m.now != 0 {
 		l.workload.storeOffset = m.now - l.clock.Now()
 	}
@@ -206,6 +232,11 @@
 			l.workload.cleaning.addJob(j.id())
 		}
 	}
+	if b.witnesses != nil {
+		l.leadership.extension.stored, l.leadership.extension.sending = b.witnesses, nil
+	}
+	l.publishWitnesses()
+	l.finishBounds(b)
 	l.sendBound(b.bindings)
 	l.releaseAcks()
 }
--- a/entry/anvilscheduler/connectivity.go
+++ b/entry/anvilscheduler/connectivity.go
@@ -149,6 +149,7 @@
 				nextList = l.clock.Now() + peerListInterval + peerListIntervalPerPeer*anvilclock.Millis(n)
 			}
 			peers = found.addrs
+			l.peerAddrs.Store(&found.addrs)
 		default:
 		}
 		age := l.StoreReplyAge()
@@ -158,6 +159,7 @@
 		}
 		if age >= threshold && listReads > 0 {
 			l.postPartition(l.askPeers(ctx, peers))
+			l.confirmOutage(ctx)
 			continue
 		}
 		l.postPartition(partitionChecked{})
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -24,10 +24,13 @@
 	// former holds the last incarnation of each worker that has ended within lateOrderWindow: its orders may still arrive at the
 	// next one.
 	former map[string]formerWorker
+	bounds leaseBounds
 }
 
 func newFleet() fleet {
-	return fleet{byID: map[string]*worker{}, pools: map[string][]*worker{}, former: map[string]formerWorker{}}
+	return fleet{
+		byID: map[string]*worker{}, pools: map[string][]*worker{}, former: map[string]formerWorker{}, bounds: newLeaseBounds(),
+	}
 }
 
 // worker is one incarnation of a worker, that is one process under the worker's id.
@@ -102,7 +105,7 @@
 // backoff.
 func (w *worker) schedulable(now anvilclock.Millis) bool {
 	return w.machine.State() == workerReady && !w.registration.draining && now >= w.backoffUntil && w.failures == 0 &&
-		!w.awaitsLateAck() &&
+		!w.awaitsLateAck() && !w.leasesBounded() &&
 		(w.deregisteredAt == 0 || now-w.deregisteredAt < deregistrationGrace)
 }
 
@@ -221,8 +224,7 @@
 		loop: l, registration: reg, machine: l.charts.worker.NewMachine(), tasks: map[*task]bool{},
 		unverified: map[startKey]anvilclock.Millis{}, lateStarts: map[startKey]anvilclock.Millis{},
 	}
-	// A former leader may have extended the worker's leases until the end of its grace.
-	w.leaseExpiry = now + l.leaseExpiryAfter(leaseGrace+l.grantedLease())
+	w.leaseExpiry = l.extendedUntil(now) + l.leaseExpiryAfter(l.grantedLease())
 	l.fleet.byID[reg.id] = w
 	if reg.pool != "" {
 		l.fleet.pools[reg.pool] = append(l.fleet.pools[reg.pool], w)
@@ -365,6 +367,7 @@
 	maps.DeleteFunc(l.fleet.former, func(_ string, f formerWorker) bool {
 		return now-f.endedAt > lateOrderWindow && now > f.worker.lateAckUntil
 	})
+	l.queueBounds()
 	for _, w := range l.fleet.byID {
 		if w.machine.State() != workerReady && now >= w.leaseExpiry && len(w.tasks) > 0 {
 			l.fireWorker(w, "lapse")
@@ -382,13 +385,14 @@
 // holdIfDue sends a hold to a worker when one is due: as a probe of a worker that does not answer, to acknowledge ends,
 // or to extend leases and wait for the next end.
 func (l *Loop) holdIfDue(w *worker, now anvilclock.Millis) {
-	if w.holdInFlight || w.registration.addr == "" || !l.mayExtendLeases(now) || now-w.lastHold < minHoldInterval {
+	if w.holdInFlight || w.registration.addr == "" || !l.mayOrder(now) || now-w.lastHold < minHoldInterval {
 		return
 	}
 	o := HoldOrder{token: l.leadership.token}
 	if w.acked > w.sentAck && len(w.unverified) == 0 {
 		o.acked = w.acked
 	}
+	mayExtend := l.mayExtendLeases(now) && !w.leasesBounded()
 	switch {
 	case w.machine.State() != workerReady || w.failures > 0:
 		limit := maxProbes
@@ -412,15 +416,22 @@
 		}
 	case w.processed > w.acked:
 		// Ends are being stored. A hold would only report them again, so one is sent only to extend leases.
-		if now-w.lastExtended < leaseRefreshAge {
+		if now-w.lastExtended < leaseRefreshAge || !mayExtend {
+			return
+		}
+	case w.leasesBounded():
+		// A hold that waits for an end would delay the extension once the bound is removed.
+		if now-w.lastHold < boundedHoldInterval {
 			return
 		}
 	}
 	// The lease of a worker that does not answer isn't extended: it may process the order late, and its runs can start
 	// elsewhere only once the lease has expired.
 	if len(w.tasks) > 0 && w.lastReply != 0 && w.machine.State() == workerReady && w.failures == 0 {
-		o.until = w.leaseUntil(now)
-		if w.processed <= w.acked {
+		if mayExtend {
+			o.until = w.leaseUntil(now)
+		}
+		if w.processed <= w.acked && !w.leasesBounded() {
 			o.wait = maxHoldWait
 		}
 	}
--- a/entry/anvilscheduler/harness_test.go
+++ b/entry/anvilscheduler/harness_test.go
@@ -164,6 +164,9 @@
 	return n
 }
 
+// storedBounds returns the number of stored bounds of leases.
+func (fc *fakeCluster) storedBounds() int { return fc.store.count(anvilstorage.Leases) }
+
 // Commit implements Store.
 func (s *fakeStore) Commit(_ context.Context, tx *anvilstorage.Tx) (anvilstorage.Receipt, error) {
 	if s.down {
@@ -283,7 +286,7 @@
 	}
 	states, _ := s.Scan(ctx, anvilstorage.States)
 	l.post(statesRead{page: states, full: true})
-	l.post(leadershipRead{row: s.get(anvilstorage.Leaderships, anvilstorage.LeadershipKey), since: now})
+	l.post(leadershipRead{row: s.get(anvilstorage.Leaderships, anvilstorage.LeadershipKey), since: now, now: now})
 	if l.leading() {
 		intake, _ := s.Scan(ctx, anvilstorage.Intake)
 		l.post(intakeRead{token: l.leadership.token, page: intake})
--- a/entry/anvilscheduler/late_test.go
+++ b/entry/anvilscheduler/late_test.go
@@ -169,7 +169,7 @@
 	if err := h.loop.readOnce(t.Context(), &m, readTimeout); err != nil {
 		t.Fatal(err)
 	}
-	assertEqual(t, "tables", len(store.tables), 4)
+	assertEqual(t, "tables", len(store.tables), 5)
 	assertEqual(t, "first table", store.tables[0], anvilstorage.States)
 }
 
--- a/entry/anvilscheduler/leadership.go
+++ b/entry/anvilscheduler/leadership.go
@@ -32,10 +32,13 @@
 	maxPeerCPU int64
 	// token is this instance's fencing token; 0 while it is neither loading nor leader.
 	token int64
+	// claimedVersion is the version of the row that the last claim replaces.
+	claimedVersion int64
 	// claimedAt is when the claim that was granted last was sent.
 	claimedAt anvilclock.Millis
 	// lastRenewed is when the last applied commit was sent.
 	lastRenewed anvilclock.Millis
+	extension   extension
 	// leadingSince is when this instance became leader.
 	leadingSince anvilclock.Millis
 	// ctx is done once this leadership has ended; the leader's calls use it.
@@ -62,12 +65,11 @@
 // leadershipValid reports whether this instance is the leader and no other instance can be leader yet. Starts may be
 // sent only then.
 func (l *Loop) leadershipValid(now anvilclock.Millis) bool {
-	return l.leading() && now-l.leadership.lastRenewed < leadershipValidity
+	return l.leading() && now-l.leadership.lastRenewed < leadershipValidity && l.mayExtendLeases(now)
 }
 
-// mayExtendLeases reports whether the leader may still extend leases. A successor waits for longer before it treats a
-// lease of this leader as expired.
-func (l *Loop) mayExtendLeases(now anvilclock.Millis) bool {
+// mayOrder reports whether the leader may still give orders that don't extend leases.
+func (l *Loop) mayOrder(now anvilclock.Millis) bool {
 	return l.leading() && now-l.leadership.lastRenewed < leaseGrace
 }
 
@@ -86,6 +88,7 @@
 	if m.err != nil || ls.machine.State() != stateFollowing {
 		return
 	}
+	l.storeTime.observe(m.since, l.clock.Now(), m.now)
 	roundTrip := l.clock.Now() - m.since
 	if ls.minRoundTrip == 0 || roundTrip < ls.minRoundTrip {
 		ls.minRoundTrip = roundTrip
@@ -97,6 +100,10 @@
 			l.log.Fault(anvilevent.RowUnreadable, err, "table", string(anvilstorage.Leaderships))
 		}
 	}
+	l.witness.observe(current.Token())
+	if m.row.Version() != ls.claimedVersion {
+		l.witness.dropClaim()
+	}
 	newObservation := m.row.Version() != ls.rowVersion || ls.lastRead == 0 || m.since-ls.lastRead > anvilclock.Millis(l.pollInterval.Load())+maxPollDelay
 	if newObservation {
 		changed := ls.current.Addr() != current.Addr()
@@ -167,21 +174,28 @@
 func (l *Loop) claimLeadership() {
 	ls := &l.leadership
 	next := anvilstorage.NewLeadership(l.self.Name(), l.self.Addr(), ls.current.Token()+1, 0)
-	row, err := anvilstorage.LeadershipRow(next)
-	if err != nil {
-		l.log.Fault(anvilevent.RowUnreadable, err)
-		return
-	}
+	c := claim{former: ls.current, vacant: ls.rowVersion == 0, next: next, addr: l.self.Addr(), clock: l.storeTime}
+	c.confirmedUntil, ls.claimedVersion = l.witness.claim(next.Token()), ls.rowVersion
 	tx := anvilstorage.NewTx(anvilstorage.FleetPartition)
 	tx.Expect(anvilstorage.Leaderships, anvilstorage.LeadershipKey, ls.rowVersion)
-	tx.Set(row)
 	l.log.Record(anvilevent.LeadershipClaimed, "token", next.Token(), "from", ls.current.Leader(),
 		"unchanged", int64(l.clock.Now()-ls.unchangedSince))
 	ctx := l.ctx
 	l.spawn(func() {
-		since := l.clock.Now()
+		witnesses, err := readWitnesses(ctx, l.store)
+		m := claimAnswered{leadership: next, since: l.clock.Now()}
+		m.extension = c.inherit(m.since, witnesses, err)
+		m.extension.until = m.since + extensionValidity
+		row, err := extensionRow(next, c.clock, m.extension.until, m.extension)
+		if err != nil {
+			m.err = err
+			l.post(m)
+			return
+		}
+		tx.Set(row)
 		receipt, err := commitWithTimeout(ctx, l.store, tx)
-		l.post(claimAnswered{leadership: next, since: since, rowVersion: receipt.Version(), err: err})
+		m.rowVersion, m.now, m.err = receipt.Version(), receipt.Now(), err
+		l.post(m)
 	})
 }
 
@@ -192,11 +206,15 @@
 		// renews, and the leadership becomes vacant again.
 		l.log.Record(anvilevent.LeadershipDenied, "token", m.leadership.Token(), "reason", m.err.Error())
 		ls.lastRead = 0
+		if anvilstorage.As(m.err).Kind() == anvilstorage.Conflict {
+			l.witness.dropClaim()
+		}
 		l.fireLeadership("denied")
 		return
 	}
 	ls.token, ls.current, ls.rowVersion, ls.lastRenewed = m.leadership.Token(), m.leadership, m.rowVersion, m.since
-	ls.claimedAt = m.since
+	ls.claimedAt, ls.extension = m.since, m.extension
+	l.storeTime.observe(m.since, l.clock.Now(), m.now)
 	l.fireLeadership("granted")
 }
 
@@ -218,7 +236,9 @@
 	}
 	ls.token, ls.lastRead = 0, 0
 	l.isLeader.Store(false)
+	l.leaderToken.Store(0)
 	l.clear()
+	l.publishWitnesses()
 }
 
 func (m leaderStateRead) deliver(l *Loop) {
@@ -236,10 +256,11 @@
 	cancels := l.adoptJobs(m.intake, m.progress)
 	l.applyInstances(m.instances)
 	l.adoptWorkers(m.workers)
+	l.adoptBounds(m.leases)
 	l.resumeJobs(cancels)
 	l.fireLeadership("loaded")
 	l.log.Record(anvilevent.LeadershipGranted, "token", m.token, "jobs", len(l.workload.jobs), "workers", len(l.fleet.byID),
-		"took", int64(l.clock.Now()-l.leadership.claimedAt))
+		"took", int64(l.clock.Now()-l.leadership.claimedAt), "extended", int64(l.leadership.extension.formerEnd-l.clock.Now()))
 	l.watchAsLeader(m)
 }
 
@@ -248,6 +269,7 @@
 	now := l.clock.Now()
 	l.leadership.leadingSince = now
 	l.isLeader.Store(true)
+	l.leaderToken.Store(l.leadership.token)
 	l.publish()
 	l.workload.passRequested = true
 	for _, w := range l.fleet.byID {
@@ -258,7 +280,7 @@
 // checkLeadership steps down when the leadership could not be renewed for leaseGrace, and yields to an instance with
 // more CPU.
 func (l *Loop) checkLeadership(now anvilclock.Millis) {
-	if !l.mayExtendLeases(now) {
+	if !l.mayOrder(now) {
 		l.stepDown("the leadership could not be renewed")
 		return
 	}
@@ -326,7 +348,7 @@
 	ls.releasing = true
 	tx := anvilstorage.NewTx(anvilstorage.FleetPartition)
 	tx.Expect(anvilstorage.Leaderships, anvilstorage.LeadershipKey, ls.rowVersion)
-	row, err := anvilstorage.LeadershipRow(anvilstorage.NewLeadership("", "", ls.token, 0))
+	row, err := l.leadershipRow("", "", 0, l.clock.Now())
 	if err != nil {
 		l.log.Fault(anvilevent.RowUnreadable, err)
 	}
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -67,6 +67,7 @@
 	advisors    Advisors
 	notifier    Notifier
 	peers       Peers
+	witnesses   Witnesses
 	clock       anvilclock.Clock
 	log         *anvilevent.Log
 	check       *anvilinvariant.Checker
@@ -74,14 +75,20 @@
 	charts      *charts
 	inbox       chan message
 	view        atomic.Pointer[View]
-	// isLeader reports to traffic goroutines whether this instance is the leader.
-	isLeader atomic.Bool
+	// isLeader reports to traffic goroutines whether this instance is the leader, and leaderToken its token, or 0.
+	isLeader    atomic.Bool
+	leaderToken atomic.Int64
 	// pollInterval is the pause between two reads of the leadership row, in milliseconds.
 	pollInterval atomic.Int64
 	// peerCount is the number of other instances; peersKnown is closed once it is known.
 	peerCount      atomic.Int64
 	peersKnown     chan struct{}
 	peersKnownOnce sync.Once
+	// peerAddrs are the addresses of the other instances; nil while unknown.
+	peerAddrs atomic.Pointer[[]string]
+	// witnessRequest is nil while no confirmation of an outage is possible.
+	witnessRequest atomic.Pointer[witnessRequest]
+	witness        witness
 	// upstreams are the addresses of the instances from which this one may read the states of jobs; nil while unknown.
 	upstreams atomic.Pointer[[]string]
 	// pollRequests has a value while the pause between two reads of the leadership row should end early.
@@ -91,6 +98,7 @@
 	limits     leaseLimits
 	state      instanceState
 	leadership leadership
+	storeTime  storeClock
 	commits    commitQueue
 	fleet      fleet
 	workload   workload
@@ -150,6 +158,10 @@
 // process are not detected, and all states are read from the store.
 func WithPeers(p Peers) Option { return func(l *Loop) { l.peers = p } }
 
+// WithWitnesses sets how other instances are asked to confirm an outage of the store. Without it, no leases are extended once the
+// leadership can't be renewed.
+func WithWitnesses(w Witnesses) Option { return func(l *Loop) { l.witnesses = w } }
+
 // WithMeter sets where metrics are recorded; by default nowhere.
 func WithMeter(m Meter) Option { return func(l *Loop) { l.meter = m } }
 
@@ -201,6 +213,8 @@
 		return nil, err
 	}
 	l.pollInterval.Store(int64(pollInterval))
+	// An earlier process at this address may have confirmed extensions.
+	l.witness.until = l.clock.Now() + outageConfirmation
 	l.leadership.machine = l.charts.leadership.NewMachine()
 	l.clear()
 	l.publish()
--- a/entry/anvilscheduler/messages.go
+++ b/entry/anvilscheduler/messages.go
@@ -20,11 +20,12 @@
 	full bool
 }
 
-// leadershipRead is the result of a read of the leadership row; since is when the read was sent. The row's version is 0
-// when there is none.
+// leadershipRead is the result of a read of the leadership row; since is when the read was sent, and now the store's time, or
+// 0. The row's version is 0 when there is none.
 type leadershipRead struct {
 	row   anvilstorage.Row
 	since anvilclock.Millis
+	now   anvilclock.Millis
 	err   error
 }
 
@@ -35,9 +36,11 @@
 }
 
 // claimAnswered is the result of a claim of the leadership; since is when the claim was sent, rowVersion the new
-// version of the leadership row.
+// version of the leadership row, and now the store's time, or 0.
 type claimAnswered struct {
 	leadership anvilstorage.Leadership
+	extension  extension
+	now        anvilclock.Millis
 	since      anvilclock.Millis
 	rowVersion int64
 	err        error
@@ -50,6 +53,7 @@
 	progress  anvilstorage.Page
 	instances anvilstorage.Page
 	states    anvilstorage.Page
+	leases    anvilstorage.Page
 	workers   WorkerPage
 	err       error
 }
--- a/entry/anvilscheduler/registry_test.go
+++ b/entry/anvilscheduler/registry_test.go
@@ -52,7 +52,7 @@
 }
 
 // advanceWorking advances the cluster for a duration in which all runs make progress.
-func (fc *fakeCluster) advanceWorking(d anvilclock.Millis, h *harness) {
+func (fc *fakeCluster) advanceWorking(d anvilclock.Millis, harnesses ...*harness) {
 	const step = anvilclock.Millis(500)
 	for ; d > 0; d -= step {
 		for _, fw := range fc.workers {
@@ -60,7 +60,7 @@
 				r.percent += 3
 			}
 		}
-		fc.advance(step, h)
+		fc.advance(step, harnesses...)
 	}
 }
 
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -213,7 +213,7 @@
 		if b.task.run != b.run || b.task.machine.State() != taskPlaced {
 			continue
 		}
-		if b.task.worker.awaitsLateAck() {
+		if w := b.task.worker; w.awaitsLateAck() || w.leasesBounded() || w.failures >= unresponsiveAfter {
 			l.fireTask(b.task, "refused")
 			continue
 		}
@@ -385,7 +385,7 @@
 
 // sendStop sends a stop on a traffic goroutine; t is nil for a run that is bound to no task.
 func (l *Loop) sendStop(w *worker, t *task, o StopOrder, now anvilclock.Millis) {
-	if w.registration.addr == "" || !l.mayExtendLeases(now) {
+	if w.registration.addr == "" || !l.mayOrder(now) {
 		return
 	}
 	m := stopAnswered{token: l.leadership.token, worker: w, task: t, run: o.run}
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -41,8 +41,12 @@
 	// distanceFactor is the delay of a claim in multiples of the round trip to the store. An instance near the store is a
 	// better leader, because the leader commits all the time. 24 ms between regions delay a claim by 240 ms.
 	distanceFactor = 10
-	// leaseGrace is how long a leader that can't renew still extends the leases of running tasks, so that an outage
-	// of the store stops no work. A successor adds it to the time after which it treats a former lease as expired.
+	// extensionValidity is how long the leader may extend leases, counted from the sending of its last applied commit. It
+	// ends before the work of a worker that was lost beside the leader counts as away for too long, and spans two renewals
+	// at a slow store.
+	extensionValidity = anvilclock.Millis(800)
+	// leaseGrace is how long a leader that can't renew still gives orders, and extends the leases of running tasks while its
+	// witnesses confirm the outage of the store, so that the outage stops no work.
 	leaseGrace = anvilclock.Millis(8000)
 )
 
@@ -111,6 +115,8 @@
 	minHoldInterval = anvilclock.Millis(30)
 	// unverifiedHoldInterval is the least time between two holds while ends can't be acknowledged.
 	unverifiedHoldInterval = anvilclock.Millis(200)
+	// boundedHoldInterval is the least time between two holds of a worker while its leases can't be extended.
+	boundedHoldInterval = anvilclock.Millis(200)
 	// lateOrderWindow is how long after its time-out an order may still be carried out. On the users' platform orders are
 	// carried out up to 12 s late.
 	lateOrderWindow = anvilclock.Millis(12_000)
--- a/entry/anvilscheduler/watch.go
+++ b/entry/anvilscheduler/watch.go
@@ -46,6 +46,9 @@
 		go l.watchConnectivity(l.ctx)
 		go l.watchLeader(l.ctx)
 	}
+	if l.witnesses != nil {
+		go l.watchWitnesses(l.ctx)
+	}
 }
 
 // watchStates follows the states of jobs: in a large failure domain through an upstream, else in the store.
@@ -160,7 +163,7 @@
 		page, err := l.store.Scan(call, anvilstorage.Leaderships)
 		cancel()
 		tracker.record(ctx, err)
-		m := leadershipRead{since: since, err: err}
+		m := leadershipRead{since: since, now: page.Now(), err: err}
 		for _, r := range page.Rows() {
 			if r.Key() == anvilstorage.LeadershipKey {
 				m.row = r
@@ -242,10 +245,11 @@
 	if m.states, err = l.store.Scan(ctx, anvilstorage.States); err != nil {
 		return err
 	}
-	results := make(chan error, 4)
+	results := make(chan error, 5)
 	go func() { var err error; m.intake, err = l.store.Scan(ctx, anvilstorage.Intake); results <- err }()
 	go func() { var err error; m.progress, err = l.store.Scan(ctx, anvilstorage.Progress); results <- err }()
 	go func() { var err error; m.instances, err = l.store.Scan(ctx, anvilstorage.Instances); results <- err }()
+	go func() { var err error; m.leases, err = l.store.Scan(ctx, anvilstorage.Leases); results <- err }()
 	go func() { var err error; m.workers, err = l.registry.Workers(ctx, 0, 0); results <- err }()
 	var errs []error
 	for range cap(results) {
--- a/entry/anvilstorage/leadership.go
+++ b/entry/anvilstorage/leadership.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+
+	"anvilhold.org/lib/anvilclock"
 )
 
 // LeadershipKey is the key of the only row of the leaderships table.
@@ -16,6 +18,9 @@
 	addr   string
 	token  int64
 	count  int64
+	// extendsUntil and boundedSince are zero in a row of a program that doesn't store them.
+	extendsUntil anvilclock.Millis
+	boundedSince int64
 }
 
 // NewLeadership returns a leadership; an empty leader means that the last leader has released it.
@@ -36,16 +41,35 @@
 // Count returns the number of commits that the leader has made under the token.
 func (l Leadership) Count() int64 { return l.count }
 
+// WithExtension returns a copy that states until when leases may be extended, as ExtendsUntil says, and since which token
+// leaders store the bounds of leases.
+func (l Leadership) WithExtension(until anvilclock.Millis, boundedSince int64) Leadership {
+	l.extendsUntil, l.boundedSince = until, boundedSince
+	return l
+}
+
+// ExtendsUntil returns the time of the store's clock after which neither this leader nor an earlier one sends an order that
+// extends leases, except by confirmation of all of the leader's witnesses. It is 0 when no bound is stored.
+func (l Leadership) ExtendsUntil() anvilclock.Millis { return l.extendsUntil }
+
+// BoundedSince returns the token of the first of the leaders up to this one, without a gap, that keep to the stored bounds of
+// leases. It is 0 when this one doesn't.
+func (l Leadership) BoundedSince() int64 { return l.boundedSince }
+
 type leadershipRow struct {
 	Leader string `json:"holder"`
 	Addr   string `json:"addr"`
 	Token  int64  `json:"token"`
 	Count  int64  `json:"count"`
+	Until  int64  `json:"until,omitempty"`
+	Since  int64  `json:"since,omitempty"`
 }
 
 // LeadershipRow returns the row that stores a leadership.
 func LeadershipRow(l Leadership) (Row, error) {
-	value, err := json.Marshal(leadershipRow{Leader: l.leader, Addr: l.addr, Token: l.token, Count: l.count})
+	value, err := json.Marshal(leadershipRow{
+		Leader: l.leader, Addr: l.addr, Token: l.token, Count: l.count, Until: int64(l.extendsUntil), Since: l.boundedSince,
+	})
 	if err != nil {
 		return Row{}, fmt.Errorf("leadership: %w", err)
 	}
@@ -58,7 +82,8 @@
 	if err := json.Unmarshal(r.value, &in); err != nil {
 		return Leadership{}, fmt.Errorf("leadership: %w", err)
 	}
-	return NewLeadership(in.Leader, in.Addr, in.Token, in.Count), nil
+	out := NewLeadership(in.Leader, in.Addr, in.Token, in.Count)
+	return out.WithExtension(anvilclock.Millis(in.Until), in.Since), nil
 }
 
 // Instance is an entry instance as it registers in the store for the others.
--- a/entry/anvilstorage/tx.go
+++ b/entry/anvilstorage/tx.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/base64"
+	"slices"
 
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilpolicy"
@@ -19,6 +20,8 @@
 	States      Table = "states"    // the state of every job, as callers see it
 	Leaderships Table = "tenures"   // the leader and its fencing token
 	Instances   Table = "instances" // the entry instances and their addresses
+	Leases      Table = "leases"    // bounds of the leases of workers that don't answer
+	WitnessList Table = "witnesses" // the instances that confirm an outage of the store to the leader
 )
 
 // Partition names a partition of a table. The store carries out the transactions of a partition one after another, so
@@ -35,7 +38,7 @@
 // leader wrote is newer than the one stored with the submission, so the leader's partition comes first.
 func (t Table) Partitions() []Partition {
 	switch t {
-	case Progress, Leaderships:
+	case Progress, Leaderships, Leases, WitnessList:
 		return []Partition{FleetPartition}
 	case States:
 		return []Partition{FleetPartition, CallsPartition}
@@ -123,6 +126,18 @@
 // Set adds a row to be inserted or replaced.
 func (t *Tx) Set(r Row) { t.sets = append(t.sets, r) }
 
+// Replace returns a copy of the transaction with another value of a row that it writes.
+func (t *Tx) Replace(r Row) *Tx {
+	out := *t
+	out.sets = slices.Clone(t.sets)
+	for i, old := range out.sets {
+		if old.table == r.table && old.key == r.key {
+			out.sets[i] = r
+		}
+	}
+	return &out
+}
+
 // Delete adds a row to be deleted.
 func (t *Tx) Delete(table Table, key string) {
 	t.deletes = append(t.deletes, Row{table: table, key: key})
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -83,6 +83,7 @@
 	LeadershipDeposed  ID = 6005
 	LeadershipReleased ID = 6006
 	LeadershipEnded    ID = 6007
+	OutageConfirmed    ID = 6008
 )
 
 // Events of the workers that run the tasks of jobs. In their names in the log, listed means registered
@@ -96,6 +97,7 @@
 	WorkerDraining     ID = 6106
 	WorkerDeregistered ID = 6107
 	WorkerReplaced     ID = 6108
+	LeaseBounded       ID = 6109
 )
 
 // Events of decisions on jobs and their runs.
@@ -206,6 +208,7 @@
 	{LeadershipDeposed, "tenure deposed", "The leader steps down, because another instance is the leader or may be."},
 	{LeadershipReleased, "tenure released", "The leader releases the leadership, at a planned stop or in favour of an instance with more CPU."},
 	{LeadershipEnded, "tenure over", "The leader reports that its leadership has ended, or its process seems to have exited; the leadership may be claimed early."},
+	{OutageConfirmed, "outage confirmed", "The store can't be reached, and all other instances confirm that the leader may go on extending leases."},
 	{WorkerRegistered, "worker listed", "A worker was registered with the platform, or registered again."},
 	{WorkerAdopted, "worker adopted", "The worker has accepted the fencing token and reported its running tasks."},
 	{WorkerUnresponsive, "worker unanswering", "Orders to the worker get no answer."},
@@ -214,6 +217,7 @@
 	{WorkerDraining, "worker draining", "The worker is leaving; no more tasks are started on it."},
 	{WorkerDeregistered, "worker unlisted", "The worker is no longer registered with the platform."},
 	{WorkerReplaced, "worker replaced", "This incarnation of the worker has ended."},
+	{LeaseBounded, "lease bounded", "The time until which the leases of a worker that doesn't answer last is being stored, for a next leader."},
 	{JobAccepted, "job accepted", "A submission is stored."},
 	{JobRefused, "job refused", "A submission was not accepted, or its outcome is unknown."},
 	{JobRead, "job taken", "The leader has read a submission."},
