--- a/entry/anvilscheduler/simulation_loop_test.go
+++ b/entry/anvilscheduler/simulation_loop_test.go
@@ -34,20 +34,22 @@
 	if w == nil {
 		return
 	}
-	sent, domain := s.now(), w.domain
+	sent, scopes := s.now(), []string{w.id, w.domain, l.name, pairScope(l.name, w.id)}
 	travel := s.delay(1, 12, key, "request")
 	how := "in time"
 	switch {
-	case s.disturbed("refuse", key, w.id, domain, l.name):
+	case s.disturbed("refuse", key, scopes...):
 		s.after(3, key, func() { settle(nil, NewOrderError(FaultRefused, 0, errDown)) })
 		return
-	case s.disturbed("unwell", key, w.id, domain, l.name):
+	case s.disturbed("unwell", key, scopes...):
 		s.after(3, key, func() { settle(nil, NewOrderError(FaultUnavailable, 0, errDown)) })
 		return
-	case s.disturbed("late", key, w.id, domain, l.name):
+	case s.disturbed("late", key, scopes...):
 		travel = s.delay(100, 9000, key, "late")
-	case s.disturbed("lose orders", key, w.id, domain, l.name):
+	case s.disturbed("lose orders", key, scopes...), s.disturbed("cut", key, scopes...):
 		return
+	case l.stalled(key):
+		travel += l.stallUntil - sent
 	}
 	s.after(travel, key, func() {
 		var p *simProcess
@@ -74,7 +76,7 @@
 			how += ", sent to an earlier process"
 		}
 		exec(p, how, func(v any, err error) {
-			if s.disturbed("lose answers", key, w.id, domain, l.name) || travel > timeout {
+			if s.disturbed("lose answers", key, scopes...) || s.disturbed("cut", key, scopes...) || travel > timeout {
 				return
 			}
 			s.after(s.delay(1, 12, key, "answer"), key, func() { settle(v, err) })
@@ -90,7 +92,15 @@
 	name        string
 	loop        *Loop
 	pausedUntil anvilclock.Millis
-	queue       []message
+	// stallAt and stallUntil are the times of a pause that is due: an order that is sent just before it may leave after it.
+	stallAt    anvilclock.Millis
+	stallUntil anvilclock.Millis
+	// dead means that the process was killed.
+	dead  bool
+	queue []message
+	// clock is the instance's own clock, lastReply its time of the store's last reply.
+	clock     offsetClock
+	lastReply anvilclock.Millis
 	// start, stop, hold and txs are the calls of the function that is being spawned.
 	start StartOrder
 	stop  StopOrder
@@ -109,12 +119,15 @@
 	nextEntries anvilclock.Millis
 	nextPoll    anvilclock.Millis
 	nextPolicy  anvilclock.Millis
+	nextCheck   anvilclock.Millis
 	statesFull  bool
 }
 
-func (s *simulation) addLoop(name string) {
-	l := &simLoop{sim: s, name: name, statesFull: true}
-	opts := []Option{WithClock(s.clock), WithLease(simMaxLease, simStopGrace), WithHeartbeat(simHeartbeat)}
+// addLoop adds an instance whose clock is ahead of that of the simulation, which is the store's.
+func (s *simulation) addLoop(name string, offset anvilclock.Millis) {
+	l := &simLoop{sim: s, name: name, statesFull: true, clock: offsetClock{Clock: s.clock, offset: offset}}
+	l.recordReply()
+	opts := []Option{WithClock(l.clock), WithLease(simMaxLease, simStopGrace), WithHeartbeat(simHeartbeat), WithPeers(l)}
 	if s.tracing {
 		sink := funcr.New(func(_, args string) { s.record("%s %s", name, args) }, funcr.Options{Verbosity: 9})
 		opts = append(opts, WithLog(anvilevent.New(sink)))
@@ -167,6 +180,9 @@
 
 // Scan implements Store.
 func (l *simLoop) Scan(ctx context.Context, table anvilstorage.Table) (anvilstorage.Page, error) {
+	if !l.reachesStore() {
+		return anvilstorage.Page{}, anvilstorage.NewError(anvilstorage.Refused, errDown)
+	}
 	return l.sim.cluster.store.Scan(ctx, table)
 }
 
@@ -176,7 +192,7 @@
 }
 
 // LastReply implements Store.
-func (l *simLoop) LastReply() anvilclock.Millis { return l.sim.now() }
+func (l *simLoop) LastReply() anvilclock.Millis { return l.lastReply }
 
 // Policy implements Registry.
 func (l *simLoop) Policy(context.Context, int64, anvilclock.Millis) (anvilstorage.PolicyPage, error) {
@@ -210,6 +226,9 @@
 
 // receive delivers a message to the loop, later if it is paused.
 func (l *simLoop) receive(m message) {
+	if l.dead {
+		return
+	}
 	if l.sim.now() < l.pausedUntil || len(l.queue) > 0 {
 		l.queue = append(l.queue, m)
 		return
@@ -278,7 +297,7 @@
 	case paceAnswered:
 		l.receive(m)
 	case commitAnswered:
-		l.playCommit(m.batch, s.now())
+		l.playCommit(m.batch, l.clock.Now())
 	case claimAnswered:
 		l.playClaim(m, l.txs[len(l.txs)-1])
 	case cleanAnswered:
@@ -323,7 +342,7 @@
 		answer(first)
 	})
 	l.sim.after(secondStartDelay, key, func() {
-		if settled {
+		if settled || l.dead {
 			return
 		}
 		second = true
@@ -384,7 +403,14 @@
 		s.after(10, key, func() { settle(anvilstorage.Receipt{}, anvilstorage.NewError(anvilstorage.Refused, errDown)) })
 		return
 	}
+	if s.disturbed("store refuses", key, "store", l.name) {
+		s.after(10, key, func() { settle(anvilstorage.Receipt{}, anvilstorage.NewError(anvilstorage.Refused, errDown)) })
+		return
+	}
 	s.after(commitTimeout, key, func() { settle(anvilstorage.Receipt{}, anvilstorage.NewError(anvilstorage.Unknown, errDown)) })
+	if s.disturbed("store silent", key, "store", l.name) {
+		return
+	}
 	travel := s.delay(3, 15, key, "commit")
 	if s.disturbed("store slow", key, "store", l.name) {
 		travel = s.delay(100, 700, key, "commit")
@@ -395,20 +421,28 @@
 	s.after(travel, key, func() {
 		r, err := s.apply(tx)
 		if travel < commitTimeout && !s.disturbed("store mute", key, "store", l.name) {
-			s.after(s.delay(2, 10, key, "receipt"), key, func() { settle(r, err) })
+			s.after(s.delay(2, 10, key, "receipt"), key, func() {
+				if l.reachesStore() {
+					l.recordReply()
+					settle(r, err)
+				}
+			})
 		}
 	})
 }
 
 func (l *simLoop) playCommit(b *batch, begin anvilclock.Millis) {
 	s := l.sim
-	b.sent = s.now()
+	if l.dead {
+		return
+	}
+	b.sent = l.clock.Now()
 	l.commit(b.tx, l.name+"commit", func(r anvilstorage.Receipt, err error) {
 		switch {
 		case err == nil:
 			b.rowVersion.Store(r.Version())
 			l.receive(commitAnswered{batch: b, rowVersion: r.Version(), now: r.Now()})
-		case anvilstorage.As(err).Kind() == anvilstorage.Conflict, s.now()-begin > leaseGrace:
+		case anvilstorage.As(err).Kind() == anvilstorage.Conflict, l.clock.Now()-begin > leaseGrace:
 			l.receive(commitAnswered{batch: b, err: err})
 		default:
 			s.after(commitRetryDelay, l.name, func() { l.playCommit(b, begin) })
@@ -434,15 +468,37 @@
 	})
 }
 
-// playLoad reads the tables at different times.
-func (l *simLoop) playLoad(m leaderStateRead) {
+// playLoad reads the tables at different times, and again when the store could not be reached.
+func (l *simLoop) playLoad(m leaderStateRead) { l.tryLoad(m, maxLoadTries) }
+
+func (l *simLoop) tryLoad(m leaderStateRead, tries int) {
 	s, ctx := l.sim, context.Background()
-	read := func(key string, f func()) { s.after(s.delay(1, 200, l.name, key), l.name+key, f) }
-	read("states", func() { m.states, _ = l.Scan(ctx, anvilstorage.States) })
-	read("intake", func() { m.intake, _ = l.Scan(ctx, anvilstorage.Intake) })
-	read("progress", func() { m.progress, _ = l.Scan(ctx, anvilstorage.Progress) })
-	read("entries", func() { m.workers, _ = l.Workers(ctx, 0, 0) })
+	m.err = nil
+	read := func(key string, f func() error) {
+		s.after(s.delay(1, 200, l.name, key), l.name+key, func() {
+			if err := f(); err != nil {
+				m.err = err
+			}
+		})
+	}
+	scan := func(key string, table anvilstorage.Table, page *anvilstorage.Page) {
+		read(key, func() (err error) {
+			*page, err = l.Scan(ctx, table)
+			return err
+		})
+	}
+	scan("states", anvilstorage.States, &m.states)
+	scan("intake", anvilstorage.Intake, &m.intake)
+	scan("progress", anvilstorage.Progress, &m.progress)
+	read("entries", func() (err error) {
+		m.workers, err = l.Workers(ctx, 0, 0)
+		return err
+	})
 	s.after(s.delay(201, 600, l.name, "load"), l.name, func() {
+		if m.err != nil && tries > 1 {
+			s.after(readRetryDelay, l.name, func() { l.tryLoad(m, tries-1) })
+			return
+		}
 		l.receive(m)
 		l.feedToken, l.intakeAfter, l.entryAfter, l.entryFull = m.token, m.intake.Version(), int(m.workers.version), false
 		l.entrySent, l.nextEntries, l.nextIntake = 0, s.now(), s.now()
@@ -473,7 +529,7 @@
 
 func (l *simLoop) step() {
 	now := l.sim.now()
-	if now < l.pausedUntil {
+	if l.dead || now < l.pausedUntil {
 		return
 	}
 	queue := l.queue
@@ -482,13 +538,14 @@
 		m.deliver(l.loop)
 	}
 	l.readFeeds(now)
+	l.checkConnectivity(now)
 	l.loop.tick()
 	l.loop.passAndCommit()
 }
 
 func (l *simLoop) readFeeds(now anvilclock.Millis) {
 	s, ctx := l.sim, context.Background()
-	if s.disturbed("store down", "feeds", "store", l.name) {
+	if s.disturbed("store down", "feeds", "store", l.name) || !l.reachesStore() {
 		return
 	}
 	lag := func(key string) anvilclock.Millis {
@@ -499,7 +556,7 @@
 	}
 	if now >= l.nextPolicy {
 		l.nextPolicy = now + 500
-		l.receive(policyRead{page: anvilstorage.NewPolicyPage(s.cluster.policy, 1, 1), since: now})
+		l.receive(policyRead{page: anvilstorage.NewPolicyPage(s.cluster.policy, 1, 1), since: l.clock.Now()})
 	}
 	if now >= l.nextStates {
 		page, full := s.changes(anvilstorage.States, l.statesAfter), false
@@ -510,12 +567,12 @@
 		l.statesAfter = page.Version()
 		d := lag("states")
 		l.nextStates = now + d + stateFeedInterval
-		s.after(d, l.name+"states", func() { l.receive(statesRead{page: page, full: full}) })
+		s.after(d, l.name+"states", func() { l.receiveRead(statesRead{page: page, full: full}) })
 	}
 	if now >= l.nextPoll && !l.loop.leading() {
 		l.nextPoll = now + pollInterval
-		m := leadershipRead{row: s.cluster.store.get(anvilstorage.Leaderships, anvilstorage.LeadershipKey), since: now}
-		s.after(s.delay(1, 10, l.name, "poll"), l.name+"poll", func() { l.receive(m) })
+		m := leadershipRead{row: s.cluster.store.get(anvilstorage.Leaderships, anvilstorage.LeadershipKey), since: l.clock.Now()}
+		s.after(s.delay(1, 10, l.name, "poll"), l.name+"poll", func() { l.receiveRead(m) })
 	}
 	if !l.loop.leading() || l.feedToken != l.loop.leadership.token {
 		return
@@ -531,7 +588,7 @@
 		l.intakeAfter = page.Version()
 		d := lag("intake")
 		l.nextIntake = now + d + intakeFeedInterval
-		s.after(d, l.name+"intake", func() { l.receive(intakeRead{token: token, page: page}) })
+		s.after(d, l.name+"intake", func() { l.receiveRead(intakeRead{token: token, page: page}) })
 	}
 	if now >= l.nextEntries {
 		l.readEntries(now, token, lag("entries"))
@@ -562,7 +619,7 @@
 			}
 			m.page, m.writtenAfter = NewWorkerPage(entries, int64(len(s.registry))), writtenAfter
 		}
-		l.entryAfter, l.entryFull, l.entrySent = len(s.registry), false, now
-		s.after(max(now+d-s.now(), 0), l.name+"entries", func() { l.receive(m) })
+		l.entryAfter, l.entryFull, l.entrySent = len(s.registry), false, now+l.clock.offset
+		s.after(max(now+d-s.now(), 0), l.name+"entries", func() { l.receiveRead(m) })
 	})
 }
--- a/entry/anvilscheduler/simulation_test.go
+++ b/entry/anvilscheduler/simulation_test.go
@@ -34,15 +34,19 @@
 	steps    map[string]*anviljob.Step
 	done     map[anviljob.TaskID][]*simDone
 	nextID   int
+	// peers means that instances call each other.
+	peers bool
 	// ideal leaves out what an order does at another process than the one that it was sent to: "other process" loses the
 	// order, "other acknowledgement" only its acknowledgement, "other start" only starts.
 	ideal []string
 	// violations are the broken rules, trace what happened at the workers.
 	violations []string
-	trace      []string
-	tracing    bool
-	starts     int
-	noted      int
+	// checks are called after each step.
+	checks  []func()
+	trace   []string
+	tracing bool
+	starts  int
+	noted   int
 }
 
 // simFault is a disruption of the orders to a worker, to all workers of a domain or from an instance, or of the store.
@@ -150,6 +154,9 @@
 		for _, l := range s.loops {
 			l.step()
 		}
+		for _, check := range s.checks {
+			check()
+		}
 	}
 }
 
--- a/entry/anvilscheduler/simulation_worker_test.go
+++ b/entry/anvilscheduler/simulation_worker_test.go
@@ -107,11 +107,14 @@
 	simHeartbeat = anvilclock.Millis(1000)
 	simStopGrace = anvilclock.Millis(900)
 	simMaxLease  = anvilclock.Millis(10_000)
+	// simNever is longer than any simulation.
+	simNever = anvilclock.Millis(1 << 40)
 )
 
 func (w *simWorker) step() {
 	s, p, now := w.sim, w.process, w.sim.now()
-	reaches := !s.disturbed("store cut", w.id, w.id, w.domain) && !s.disturbed("store down", w.id, "store")
+	reaches := !s.disturbed("store cut", w.id, w.id, w.domain) && !s.disturbed("store down", w.id, "store") &&
+		!s.disturbed("store refuses", w.id, "store") && !s.disturbed("store silent", w.id, "store")
 	if p != nil {
 		p.step(now)
 		if p.leavesAt != 0 && now >= p.leavesAt {
@@ -298,6 +301,9 @@
 	}
 	p.runs[key] = r
 	work := step.Estimate()*9/10 + s.delay(0, int64(step.Estimate())/5, key, "work")
+	if step.LongRunning() {
+		work = simNever
+	}
 	present := 0
 	s.gangOf(key, func(*simProcess, simRunKey, *simRun) { present++ })
 	if !step.Gang() {
--- a/entry/anvilscheduler/twice_test.go
+++ b/entry/anvilscheduler/twice_test.go
@@ -58,8 +58,8 @@
 			sc.addWorker(fmt.Sprintf("w%d%d", d, n), fmt.Sprintf("d%d", d))
 		}
 	}
-	sc.addLoop("e1")
-	sc.addLoop("e2")
+	sc.addLoop("e1", 0)
+	sc.addLoop("e2", 0)
 	return sc
 }
 
@@ -269,7 +269,7 @@
 	case "claim":
 		row := sc.cluster.store.get(anvilstorage.Leaderships, anvilstorage.LeadershipKey)
 		if sc.now() >= l.pausedUntil && !l.loop.leading() && row.Version() != 0 {
-			leadershipRead{row: row, since: sc.now()}.deliver(l.loop)
+			leadershipRead{row: row, since: l.clock.Now()}.deliver(l.loop)
 			l.loop.fireLeadership("vacant")
 		}
 	case "full entries":
