--- a/entry/anvilscheduler/restartlease_test.go
+++ b/entry/anvilscheduler/restartlease_test.go
@@ -8,7 +8,7 @@
 
 // startedAfterRestart returns a cluster in which the new process of w1 runs j1 while the leader doesn't know the restart:
 // holds are lost.
-func startedAfterRestart(t *testing.T, loseAnswers bool) (*fakeCluster, *harness) {
+func startedAfterRestart(t *testing.T, loseAnswers bool, opts ...anviljob.StepOption) (*fakeCluster, *harness) {
 	t.Helper()
 	fc, h := started(t, "w1", "w2")
 	fc.workers["w2"].unreachable = true
@@ -16,7 +16,8 @@
 	fw := fc.workers["w1"]
 	fw.restart()
 	fw.loseHolds, fw.loseAnswers = true, loseAnswers
-	fc.submit("j1", plainQueue, teamName, anviljob.NewStep(1, core(1), anviljob.WithEstimate(60_000)))
+	opts = append(opts, anviljob.WithEstimate(60_000))
+	fc.submit("j1", plainQueue, teamName, anviljob.NewStep(1, core(1), opts...))
 	fc.advance(50, h)
 	assertRunning(t, fc, "j1.0.0.0")
 	fc.workers["w2"].unreachable = false
@@ -57,3 +58,10 @@
 		assertMovedAfterLease(t, fc, next)
 	})
 }
+
+// Guards against a second run of a long-running task while the first one is at work: its start got no answer from a worker that
+// had restarted under its id, and the leader waits for the granted lease only.
+func TestLongRunningStartWithoutAnswerAtRestartedWorker(t *testing.T) {
+	fc, h := startedAfterRestart(t, true, anviljob.WithLongRunning(true))
+	assertMovedAfterLease(t, fc, h)
+}
