--- a/entry/anvilscheduler/simulation_loop_test.go
+++ b/entry/anvilscheduler/simulation_loop_test.go
@@ -120,6 +120,8 @@
 	nextPoll    anvilclock.Millis
 	nextPolicy  anvilclock.Millis
 	nextCheck   anvilclock.Millis
+	nextPeers   anvilclock.Millis
+	nextWitness anvilclock.Millis
 	statesFull  bool
 }
 
@@ -127,7 +129,8 @@
 func (s *simulation) addLoop(name string, offset anvilclock.Millis) {
 	l := &simLoop{sim: s, name: name, statesFull: true, clock: offsetClock{Clock: s.clock, offset: offset}}
 	l.recordReply()
-	opts := []Option{WithClock(l.clock), WithLease(simMaxLease, simStopGrace), WithHeartbeat(simHeartbeat), WithPeers(l)}
+	opts := []Option{WithClock(l.clock), WithLease(simMaxLease, simStopGrace), WithHeartbeat(simHeartbeat), WithPeers(l),
+		WithWitnesses(l)}
 	if s.tracing {
 		sink := funcr.New(func(_, args string) { s.record("%s %s", name, args) }, funcr.Options{Verbosity: 9})
 		opts = append(opts, WithLog(anvilevent.New(sink)))
@@ -304,6 +307,8 @@
 		l.playClean(m, slices.Clone(l.txs))
 	case leaderStateRead:
 		l.playLoad(m)
+	case outageConfirmed:
+		s.after(s.delay(1, int64(peerQueryTimeout), l.name, "confirmed"), l.name+"confirmed", func() { l.receive(m) })
 	default:
 		s.after(0, l.name, func() { l.receive(m) })
 	}
@@ -432,27 +437,39 @@
 }
 
 func (l *simLoop) playCommit(b *batch, begin anvilclock.Millis) {
+	l.tryCommit(b, b.tx, b.extendsUntil, begin)
+}
+
+func (l *simLoop) tryCommit(b *batch, tx *anvilstorage.Tx, until, begin anvilclock.Millis) {
 	s := l.sim
 	if l.dead {
 		return
 	}
 	b.sent = l.clock.Now()
-	l.commit(b.tx, l.name+"commit", func(r anvilstorage.Receipt, err error) {
+	l.commit(tx, l.name+"commit", func(r anvilstorage.Receipt, err error) {
 		switch {
 		case err == nil:
+			b.extendsUntil = until
 			b.rowVersion.Store(r.Version())
 			l.receive(commitAnswered{batch: b, rowVersion: r.Version(), now: r.Now()})
 		case anvilstorage.As(err).Kind() == anvilstorage.Conflict, l.clock.Now()-begin > leaseGrace:
 			l.receive(commitAnswered{batch: b, err: err})
 		default:
-			s.after(commitRetryDelay, l.name, func() { l.playCommit(b, begin) })
+			s.after(commitRetryDelay, l.name, func() {
+				next := l.clock.Now() + extensionValidity
+				row, err := b.row(next)
+				if err != nil {
+					s.t.Fatal(err)
+				}
+				l.tryCommit(b, b.tx.Replace(row), next, begin)
+			})
 		}
 	})
 }
 
 func (l *simLoop) playClaim(m claimAnswered, tx *anvilstorage.Tx) {
 	l.commit(tx, l.name+"claim", func(r anvilstorage.Receipt, err error) {
-		m.rowVersion, m.err = r.Version(), err
+		m.rowVersion, m.now, m.err = r.Version(), r.Now(), err
 		l.receive(m)
 	})
 }
@@ -490,6 +507,7 @@
 	scan("states", anvilstorage.States, &m.states)
 	scan("intake", anvilstorage.Intake, &m.intake)
 	scan("progress", anvilstorage.Progress, &m.progress)
+	scan("leases", anvilstorage.Leases, &m.leases)
 	read("entries", func() (err error) {
 		m.workers, err = l.Workers(ctx, 0, 0)
 		return err
@@ -571,7 +589,7 @@
 	}
 	if now >= l.nextPoll && !l.loop.leading() {
 		l.nextPoll = now + pollInterval
-		m := leadershipRead{row: s.cluster.store.get(anvilstorage.Leaderships, anvilstorage.LeadershipKey), since: l.clock.Now()}
+		m := leadershipRead{row: s.cluster.store.get(anvilstorage.Leaderships, anvilstorage.LeadershipKey), since: l.clock.Now(), now: now}
 		s.after(s.delay(1, 10, l.name, "poll"), l.name+"poll", func() { l.receiveRead(m) })
 	}
 	if !l.loop.leading() || l.feedToken != l.loop.leadership.token {
--- a/entry/anvilscheduler/simulation_peers_test.go
+++ b/entry/anvilscheduler/simulation_peers_test.go
@@ -26,6 +26,7 @@
 	s := l.sim
 	s.record("kill instance %s: %s", l.name, why)
 	l.dead = true
+	s.former = append(s.former, l)
 	s.loops = slices.DeleteFunc(s.loops, func(other *simLoop) bool { return other == l })
 	if !s.peers {
 		return
@@ -70,16 +71,16 @@
 
 func (l *simLoop) recordReply() { l.lastReply = l.clock.Now() }
 
-// checkConnectivity checks whether the instance is partitioned from the store as watchConnectivity does, and polls the leadership
-// row when the loop requests it.
+// checkConnectivity checks whether the instance is partitioned from the store as watchConnectivity does, finds and asks witnesses,
+// and polls the leadership row when the loop requests it.
 func (l *simLoop) checkConnectivity(now anvilclock.Millis) {
-	if !l.sim.peers {
-		return
-	}
-	select {
-	case <-l.loop.pollRequests:
-		l.nextPoll = now
-	default:
+	l.findWitnesses(now)
+	if l.sim.peers {
+		select {
+		case <-l.loop.pollRequests:
+			l.nextPoll = now
+		default:
+		}
 	}
 	if now < l.nextCheck {
 		return
@@ -91,13 +92,66 @@
 	}
 	m := partitionChecked{}
 	if age >= threshold {
-		m = l.askOthers(age)
+		if l.sim.peers {
+			m = l.askOthers(age)
+		}
+		l.loop.confirmOutage(context.Background())
+		l.collect()
 	}
 	if m.partitioned || l.loop.Connectivity().Partitioned() {
 		l.sim.after(l.sim.delay(1, int64(peerQueryTimeout), l.name, "asked"), l.name+"asked", func() { l.receive(m) })
 	}
 }
 
+// findWitnesses does what watchWitnesses and the reads of the registry of instances do.
+func (l *simLoop) findWitnesses(now anvilclock.Millis) {
+	s := l.sim
+	if now >= l.nextPeers && l.reachesStore() {
+		l.nextPeers = now + peerListInterval
+		// The rows of exited processes stay for a while.
+		addrs := []string{}
+		for _, other := range slices.Concat(s.loops, s.former[max(len(s.former)-2, 0):]) {
+			if other != l {
+				addrs = append(addrs, other.loop.self.Addr())
+			}
+		}
+		l.loop.peerAddrs.Store(&addrs)
+	}
+	if now < l.nextWitness || !l.loop.leading() {
+		return
+	}
+	l.nextWitness = now + witnessInterval
+	m := witnessesFound{token: l.loop.leadership.token, addrs: []string{}}
+	for _, addr := range *l.loop.peerAddrs.Load() {
+		if other := l.instanceAt(addr); other != nil {
+			m.addrs = append(m.addrs, addr)
+		}
+	}
+	slices.Sort(m.addrs)
+	s.after(s.delay(1, int64(peerQueryTimeout), l.name, "witnesses"), l.name+"witnesses", func() { l.receive(m) })
+}
+
+// instanceAt returns the instance at an address that answers this one, or nil.
+func (l *simLoop) instanceAt(addr string) *simLoop {
+	for _, other := range l.sim.loops {
+		if other.loop.self.Addr() == addr && other.answers(l) {
+			return other
+		}
+	}
+	return nil
+}
+
+// ConfirmOutage implements Witnesses.
+func (l *simLoop) ConfirmOutage(_ context.Context, addr string, token int64) (bool, error) {
+	l.sim.mu.Lock()
+	defer l.sim.mu.Unlock()
+	other := l.instanceAt(addr)
+	if other == nil {
+		return false, errDown
+	}
+	return other.loop.ConfirmOutage(token), nil
+}
+
 // askOthers asks all other instances for the age of their last reply from the store.
 func (l *simLoop) askOthers(age anvilclock.Millis) partitionChecked {
 	replies := 0
@@ -138,11 +192,7 @@
 // NotifyLeadershipEnded implements Peers.
 func (l *simLoop) NotifyLeadershipEnded(addr string, token int64) {
 	s := l.sim
-	for _, other := range s.loops {
-		if other.loop.self.Addr() == addr && other.answers(l) {
-			s.after(s.delay(1, 20, other.name, "notice"), other.name+"notice", func() {
-				other.receive(leadershipEndNotice{token: token})
-			})
-		}
+	if other := l.instanceAt(addr); other != nil {
+		s.after(s.delay(1, 20, other.name, "notice"), other.name+"notice", func() { other.receive(leadershipEndNotice{token: token}) })
 	}
 }
--- a/entry/anvilscheduler/simulation_test.go
+++ b/entry/anvilscheduler/simulation_test.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 
 	"anvilhold.org/entry/anvilstorage"
@@ -20,12 +21,16 @@
 	t       testing.TB
 	seed    uint64
 	cluster *fakeCluster
+	// mu guards what instances do when they ask each other, which they do on several goroutines.
+	mu      sync.Mutex
 	clock   *anvilclock.Manual
 	rng     *rand.Rand
 	events  simEvents
 	seq     int
 	workers []*simWorker
 	loops   []*simLoop
+	// former are the instances that were killed.
+	former []*simLoop
 	// registry is the history of the worker registry, deleted that of the removed rows of the store.
 	registry []registryChange
 	deleted  []anvilstorage.Row
--- a/entry/anvilscheduler/twice_test.go
+++ b/entry/anvilscheduler/twice_test.go
@@ -269,7 +269,7 @@
 	case "claim":
 		row := sc.cluster.store.get(anvilstorage.Leaderships, anvilstorage.LeadershipKey)
 		if sc.now() >= l.pausedUntil && !l.loop.leading() && row.Version() != 0 {
-			leadershipRead{row: row, since: l.clock.Now()}.deliver(l.loop)
+			leadershipRead{row: row, since: l.clock.Now(), now: sc.now()}.deliver(l.loop)
 			l.loop.fireLeadership("vacant")
 		}
 	case "full entries":
