anvilscheduler: start long-running tasks at workers that answer

Cause: idle workers are probed only every 25 s, and a worker gets starts until 2.5 s after its entry is gone.

Change: a worker without an entry is probed at once and gets starts only once it has answered; while a long-running task is bound to a worker that doesn't answer, idle workers of its pool that haven't answered for 2 s are probed.

--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -25,11 +25,14 @@
 	// next one.
 	former map[string]formerWorker
 	bounds leaseBounds
+	// losing holds the pools in which long-running tasks are bound to workers that don't answer.
+	losing map[string]bool
 }
 
 func newFleet() fleet {
 	return fleet{
 		byID: map[string]*worker{}, pools: map[string][]*worker{}, former: map[string]formerWorker{}, bounds: newLeaseBounds(),
+		losing: map[string]bool{},
 	}
 }
 
@@ -106,7 +109,7 @@
 func (w *worker) schedulable(now anvilclock.Millis) bool {
 	return w.machine.State() == workerReady && !w.registration.draining && now >= w.backoffUntil && w.failures == 0 &&
 		!w.awaitsLateAck() && !w.leasesBounded() &&
-		(w.deregisteredAt == 0 || now-w.deregisteredAt < deregistrationGrace)
+		(w.deregisteredAt == 0 || (w.lastReply > w.deregisteredAt && now-w.deregisteredAt < deregistrationGrace))
 }
 
 // earliestClock returns the earliest time that the worker's clock can show now.
@@ -368,6 +371,7 @@
 		return now-f.endedAt > lateOrderWindow && now > f.worker.lateAckUntil
 	})
 	l.queueBounds()
+	l.findLosses()
 	for _, w := range l.fleet.byID {
 		if w.machine.State() != workerReady && now >= w.leaseExpiry && len(w.tasks) > 0 {
 			l.fireWorker(w, "lapse")
@@ -411,7 +415,7 @@
 		// The hold acknowledges ends. While tasks run, the same call waits for the next end.
 	case len(w.tasks) == 0:
 		// The reply shows the clock of a worker that may get a start.
-		if w.registration.draining || now-w.lastReply < clockRefreshAge || !l.claimProbe(w, maxIdleProbes) {
+		if w.registration.draining || now-w.lastReply < w.idleReplyAge() || !l.claimProbe(w, maxIdleProbes) {
 			return
 		}
 	case w.processed > w.acked:
@@ -438,6 +442,34 @@
 	l.sendHold(w, o, now)
 }
 
+// idleReplyAge returns the age of the last reply after which the idle worker gets a hold. A long-running task must not be
+// started at a worker that is lost, too: it would be away for the leases of both.
+func (w *worker) idleReplyAge() anvilclock.Millis {
+	switch {
+	case w.deregisteredAt != 0 && w.lastReply <= w.deregisteredAt:
+		return 0
+	case w.loop.fleet.losing[w.registration.pool]:
+		return lossReplyAge
+	default:
+		return clockRefreshAge
+	}
+}
+
+// findLosses records the pools in which long-running tasks are bound to workers that don't answer.
+func (l *Loop) findLosses() {
+	clear(l.fleet.losing)
+	for _, w := range l.fleet.byID {
+		if w.failures == 0 && !w.registration.removed {
+			continue
+		}
+		for t := range w.tasks {
+			if q, ok := l.queueOf(t.stage.job); ok && t.stage.step.LongRunning() {
+				l.fleet.losing[q.Pool()] = true
+			}
+		}
+	}
+}
+
 // claimProbe counts the next hold of a worker in probesInFlight, and reports false if limit holds are counted already.
 func (l *Loop) claimProbe(w *worker, limit int) bool {
 	if l.fleet.probesInFlight >= limit {
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -134,6 +134,8 @@
 	// clockRefreshAge is the age of the last reply after which an idle worker gets a hold, because the estimate of its
 	// clock becomes less certain: the first lease after the reply is shorter by up to maxClockLag of this age.
 	clockRefreshAge = anvilclock.Millis(25_000)
+	// lossReplyAge replaces clockRefreshAge in a pool with long-running tasks at workers that don't answer.
+	lossReplyAge = anvilclock.Millis(2000)
 	// unresponsiveAfter is the number of consecutive orders without an answer after which a worker counts as unresponsive.
 	unresponsiveAfter = 2
 	// probeInterval is the pause between holds of an unresponsive worker.
