anvilscheduler: raise the fencing token for a worker that restarts under its id

Cause: all orders of a leader carry one token, and a new process accepts the late ones among them.

Change: the leader stores a raised token in its row for each restart that it notices, and the worker gets starts only once it has accepted it; late orders to the former process are refused then. An order that is refused because the worker knows the leader's own raised token isn't taken for another leader.

In startedBeforeRegistration holds are lost until the start has arrived: the leader would notice the restart first, and keep the start back.

--- a/entry/anvilscheduler/commits.go
+++ b/entry/anvilscheduler/commits.go
@@ -56,6 +56,8 @@
 	// unbounded are the workers whose bounds of leases the commit removes, witnesses those that it stores, or nil.
 	unbounded []string
 	witnesses []string
+	// fence is the fencing token that the row states.
+	fence int64
 	// rowVersion is the version of the leadership row after the commit, 0 when it was not applied or the outcome is
 	// unknown. done is closed once rowVersion is final.
 	rowVersion atomic.Int64
@@ -88,7 +90,7 @@
 	if q.inflight != nil || (!l.leading() && !l.loading()) {
 		return
 	}
-	if len(q.jobs) == 0 && len(l.fleet.bounds.queued) == 0 && now-l.leadership.lastRenewed < renewInterval {
+	if len(q.jobs) == 0 && len(l.fleet.bounds.queued) == 0 && l.nextFence() == l.leadership.fence && now-l.leadership.lastRenewed < renewInterval {
 		return
 	}
 	if now-q.lastSent < minCommitInterval {
@@ -109,7 +111,8 @@
 	b := &batch{tx: anvilstorage.NewTx(anvilstorage.FleetPartition), renewals: q.renewals + 1, seq: q.storedSeq,
 		done: make(chan struct{})}
 	b.tx.Expect(anvilstorage.Leaderships, anvilstorage.LeadershipKey, ls.rowVersion)
-	m, clock, e := anvilstorage.NewLeadership(l.self.Name(), l.self.Addr(), ls.token, b.renewals), l.storeTime, ls.extension
+	b.fence = l.nextFence()
+	m, clock, e := anvilstorage.NewLeadership(l.self.Name(), l.self.Addr(), b.fence, b.renewals), l.storeTime, ls.extension
 	b.extendsUntil = now + extensionValidity
 	b.row = func(until anvilclock.Millis) (anvilstorage.Row, error) { return extensionRow(m, clock, until, e) }
 	row, err := b.row(b.extendsUntil)
@@ -235,6 +238,7 @@
 	if b.witnesses != nil {
 		l.leadership.extension.stored, l.leadership.extension.sending = b.witnesses, nil
 	}
+	l.raiseFence(b.fence)
 	l.publishWitnesses()
 	l.finishBounds(b)
 	l.sendBound(b.bindings)
--- a/entry/anvilscheduler/fault_test.go
+++ b/entry/anvilscheduler/fault_test.go
@@ -230,9 +230,12 @@
 	fc.workers["w2"].unreachable = true
 	fc.advance(2*reactionTime, h)
 	fw.restart()
+	// A hold would show the restart before the start is sent.
+	fw.loseHolds = true
 	fc.submit("j1", plainQueue, teamName, anviljob.NewStep(1, core(1)))
 	fc.advance(50, h)
 	assertRunning(t, fc, "j1.0.0.0")
+	fw.loseHolds = false
 	fc.workers["w2"].unreachable = false
 	i := slices.IndexFunc(fc.registry, func(reg Registration) bool { return reg.id == "w1" })
 	fc.registry[i].incarnation = fw.incarnation
--- /dev/null
+++ b/entry/anvilscheduler/fence.go
@@ -0,0 +1,49 @@
+package anvilscheduler
+
+// Orders carry the fencing token of the leadership row. When a worker restarts under its id, the leader raises the token for
+// it: once the new process has accepted the raised one, it refuses orders to the former process that arrive late.
+
+// requireFence requires that the worker accepts a fencing token above those of all orders sent so far, before it gets starts.
+func (l *Loop) requireFence(w *worker) {
+	ls := &l.leadership
+	newest := ls.fence
+	if b := l.commits.inflight; b != nil {
+		newest = max(newest, b.fence)
+	}
+	w.minFence = newest + 1
+	ls.requiredFence = w.minFence
+}
+
+// nextFence returns the fencing token for the next leadership row.
+func (l *Loop) nextFence() int64 { return max(l.leadership.fence, l.leadership.requiredFence) }
+
+// raiseFence applies the fencing token of a commit that was applied.
+func (l *Loop) raiseFence(fence int64) {
+	ls := &l.leadership
+	if fence <= ls.fence {
+		return
+	}
+	ls.fence = fence
+	for _, w := range l.fleet.byID {
+		if w.fence < w.minFence && w.minFence <= fence {
+			w.fence = fence
+			l.holdIfDue(w, l.clock.Now())
+		}
+	}
+}
+
+// acceptFence records that the worker has answered an order with a fencing token. A late order may have extended its leases
+// before that.
+func (w *worker) acceptFence(fence int64) {
+	if w.minFence != 0 && fence >= w.minFence {
+		w.minFence = 0
+		w.recordRestart(w.loop.clock.Now())
+	}
+}
+
+// overtaken reports whether an order with a fencing token was refused because the worker's present process has got a higher one
+// from this leader.
+func (w *worker) overtaken(fence int64) bool {
+	current := w.loop.fleet.byID[w.id()]
+	return current != nil && fence < current.fence
+}
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -40,7 +40,10 @@
 type worker struct {
 	loop         *Loop
 	registration Registration
-	machine      anvilchart.Machine
+	// fence is the fencing token of orders to the worker. minFence is the lowest that it has to accept before it gets starts; 0
+	// once it has.
+	fence, minFence int64
+	machine         anvilchart.Machine
 	// tasks holds the tasks that are bound to the worker, used is the sum of their reservations.
 	used  anvilsize.Size
 	tasks map[*task]bool
@@ -108,7 +111,7 @@
 // backoff.
 func (w *worker) schedulable(now anvilclock.Millis) bool {
 	return w.machine.State() == workerReady && !w.registration.draining && now >= w.backoffUntil && w.failures == 0 &&
-		!w.awaitsLateAck() && !w.leasesBounded() &&
+		!w.awaitsLateAck() && !w.leasesBounded() && w.minFence == 0 &&
 		(w.deregisteredAt == 0 || (w.lastReply > w.deregisteredAt && now-w.deregisteredAt < deregistrationGrace))
 }
 
@@ -152,6 +155,9 @@
 		"adopt": func(w *worker) {
 			// The worker has accepted this leader's token, so only this leader extends leases from now on. No lease of a
 			// former leader is longer than this.
+			if w.formerClockExpiry != 0 {
+				w.recordRestart(l.clock.Now())
+			}
 			w.leaseExpiry = max(l.clock.Now()+l.leaseExpiryAfter(l.grantedLease()), w.formerClockExpiry)
 			l.log.Record(anvilevent.WorkerAdopted, "worker", w.id(), "pool", w.registration.pool, "tasks", len(w.tasks))
 			l.requestPass()
@@ -224,7 +230,7 @@
 func (l *Loop) newWorker(reg Registration) *worker {
 	now := l.clock.Now()
 	w := &worker{
-		loop: l, registration: reg, machine: l.charts.worker.NewMachine(), tasks: map[*task]bool{},
+		loop: l, registration: reg, fence: l.leadership.token, machine: l.charts.worker.NewMachine(), tasks: map[*task]bool{},
 		unverified: map[startKey]anvilclock.Millis{}, lateStarts: map[startKey]anvilclock.Millis{},
 	}
 	w.leaseExpiry = l.extendedUntil(now) + l.leaseExpiryAfter(l.grantedLease())
@@ -392,7 +398,7 @@
 	if w.holdInFlight || w.registration.addr == "" || !l.mayOrder(now) || now-w.lastHold < minHoldInterval {
 		return
 	}
-	o := HoldOrder{token: l.leadership.token}
+	o := HoldOrder{token: w.fence}
 	if w.acked > w.sentAck && len(w.unverified) == 0 {
 		o.acked = w.acked
 	}
@@ -406,6 +412,8 @@
 		if (w.lastHold != 0 && now-w.lastHold < probeInterval) || !l.claimProbe(w, limit) {
 			return
 		}
+	case w.minFence != 0 && w.fence >= w.minFence:
+		// The worker has to accept the raised token.
 	case w.acked > w.sentAck && o.acked == 0:
 		// The worker would report the ends again at once, until they may be acknowledged.
 		if now-w.lastHold < unverifiedHoldInterval {
@@ -491,7 +499,7 @@
 		ctx, cancel := withTimeout(ctx, o.wait+orderTimeout)
 		defer cancel()
 		report, err := workers.Hold(ctx, to, o)
-		l.post(holdAnswered{token: token, worker: w, sent: now, acked: o.acked, report: report, err: err})
+		l.post(holdAnswered{token: token, fence: o.token, worker: w, sent: now, acked: o.acked, report: report, err: err})
 	})
 }
 
@@ -513,10 +521,11 @@
 		if m.acked > 0 && errors.Is(m.err, context.DeadlineExceeded) {
 			w.lateAckUntil = now + lateOrderWindow
 		}
-		l.handleOrderError(w, m.err, now)
+		l.handleOrderError(w, m.fence, m.err, now)
 		return
 	}
 	w.failures = 0
+	w.acceptFence(m.fence)
 	w.recordReply(m.report.clock, now)
 	w.sentAck = max(w.sentAck, m.acked)
 	if w.registration.incarnation != 0 && m.report.incarnation != 0 && m.report.incarnation != w.registration.incarnation {
@@ -530,11 +539,14 @@
 	l.holdIfDue(w, now)
 }
 
-// handleOrderError acts on the failure of an order. It steps down if the worker knows a newer token; otherwise it
+// handleOrderError acts on the failure of an order with a fencing token. It steps down if the worker knows a newer leader; otherwise it
 // retires the worker, puts it into backoff, or counts the failure.
-func (l *Loop) handleOrderError(w *worker, err error, now anvilclock.Millis) {
+func (l *Loop) handleOrderError(w *worker, fence int64, err error, now anvilclock.Millis) {
 	e := asOrderError(err)
 	if e.fault == FaultFenced {
+		if w.overtaken(fence) {
+			return
+		}
 		l.stepDown("worker " + w.id() + " has seen a newer token")
 		return
 	}
@@ -609,7 +621,7 @@
 func (l *Loop) stopStray(w *worker, a Active, now anvilclock.Millis) {
 	l.log.Record(anvilevent.RunUnbound, "task", a.task.String(), "run", a.run, "worker", w.id())
 	l.meter.Count("run.stray")
-	l.sendStop(w, nil, StopOrder{task: a.task, run: a.run, token: l.leadership.token}, now)
+	l.sendStop(w, nil, StopOrder{task: a.task, run: a.run, token: w.fence}, now)
 }
 
 func (l *Loop) applyInstances(page anvilstorage.Page) {
--- a/entry/anvilscheduler/health.go
+++ b/entry/anvilscheduler/health.go
@@ -108,8 +108,8 @@
 	}
 	t.paceInFlight = true
 	w := t.worker
-	m := paceAnswered{token: l.leadership.token, worker: w, task: t, run: t.run, percent: percent}
-	o := PaceOrder{task: t.id, run: t.run, percent: percent, token: l.leadership.token}
+	m := paceAnswered{token: l.leadership.token, fence: w.fence, worker: w, task: t, run: t.run, percent: percent}
+	o := PaceOrder{task: t.id, run: t.run, percent: percent, token: w.fence}
 	ctx, workers, to := l.leadershipContext(), l.workers, w.target()
 	l.log.Record(anvilevent.RunPaced, "task", t.id.String(), "run", t.run, "worker", w.id(), "percent", percent)
 	l.spawn(func() {
@@ -127,7 +127,7 @@
 	}
 	t.paceInFlight = false
 	if m.err != nil {
-		l.handleOrderError(m.worker, m.err, l.clock.Now())
+		l.handleOrderError(m.worker, m.fence, m.err, l.clock.Now())
 		return
 	}
 	t.pace = m.percent
--- a/entry/anvilscheduler/leadership.go
+++ b/entry/anvilscheduler/leadership.go
@@ -30,8 +30,11 @@
 	minRoundTrip anvilclock.Millis
 	// maxPeerCPU is the most CPU of another instance, in millicores.
 	maxPeerCPU int64
-	// token is this instance's fencing token; 0 while it is neither loading nor leader.
-	token int64
+	// token is this instance's fencing token; 0 while it is neither loading nor leader. fence is the highest that it has stored since
+	// and may use, requiredFence the highest that a worker has to accept.
+	token         int64
+	fence         int64
+	requiredFence int64
 	// claimedVersion is the version of the row that the last claim replaces.
 	claimedVersion int64
 	// claimedAt is when the claim that was granted last was sent.
@@ -213,6 +216,7 @@
 		return
 	}
 	ls.token, ls.current, ls.rowVersion, ls.lastRenewed = m.leadership.Token(), m.leadership, m.rowVersion, m.since
+	ls.fence, ls.requiredFence = ls.token, ls.token
 	ls.claimedAt, ls.extension = m.since, m.extension
 	l.storeTime.observe(m.since, l.clock.Now(), m.now)
 	l.fireLeadership("granted")
@@ -302,7 +306,7 @@
 // peers, which may claim it at once. A commit that is still in flight may be applied later; a concurrent claim fails
 // then and is repeated.
 func (l *Loop) stepDownPartitioned(peers []string) {
-	token := l.leadership.token
+	token := l.leadership.fence
 	peers = slices.Clone(peers)
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, addr := range peers[:min(len(peers), maxEndNotices)] {
--- a/entry/anvilscheduler/messages.go
+++ b/entry/anvilscheduler/messages.go
@@ -97,10 +97,11 @@
 	err        error
 }
 
-// startAnswered is the result of a start, which was sent at a local time when the worker's clock could show earliestClock at
+// startAnswered is the result of a start with a fencing token, which was sent at a local time when the worker's clock could show earliestClock at
 // the earliest. The clock of the answer is the worker's, 0 without an answer.
 type startAnswered struct {
 	token         int64
+	fence         int64
 	worker        *worker
 	task          *task
 	run           int
@@ -112,6 +113,7 @@
 // stopAnswered is the result of a stop. The task is nil if the run was bound to none.
 type stopAnswered struct {
 	token  int64
+	fence  int64
 	worker *worker
 	task   *task
 	run    int
@@ -122,6 +124,7 @@
 // paceAnswered is the result of a pace order.
 type paceAnswered struct {
 	token   int64
+	fence   int64
 	worker  *worker
 	task    *task
 	run     int
@@ -132,6 +135,7 @@
 // holdAnswered is the result of a hold that acknowledged run ends up to acked.
 type holdAnswered struct {
 	token  int64
+	fence  int64
 	worker *worker
 	sent   anvilclock.Millis
 	acked  int64
--- a/entry/anvilscheduler/outage.go
+++ b/entry/anvilscheduler/outage.go
@@ -97,16 +97,17 @@
 	}
 	addrs := slices.Concat(e.stored, e.sending)
 	slices.Sort(addrs)
-	l.witnessRequest.Store(&witnessRequest{token: l.leadership.token, addrs: slices.Compact(addrs), until: e.confirmedUntil})
+	l.witnessRequest.Store(&witnessRequest{token: l.leadership.fence, addrs: slices.Compact(addrs), until: e.confirmedUntil})
 }
 
 // addWitnesses adds the witnesses to a commit if they have changed.
 func (l *Loop) addWitnesses(b *batch) error {
 	e := &l.leadership.extension
-	if !l.leading() || e.found == nil || (e.stored != nil && slices.Equal(e.found, e.stored)) {
+	unchanged := e.stored != nil && slices.Equal(e.found, e.stored) && b.fence == l.leadership.fence
+	if !l.leading() || e.found == nil || unchanged {
 		return nil
 	}
-	row, err := anvilstorage.WitnessRow(anvilstorage.NewWitnesses(l.leadership.token, e.found))
+	row, err := anvilstorage.WitnessRow(anvilstorage.NewWitnesses(b.fence, e.found))
 	if err != nil {
 		return err
 	}
--- a/entry/anvilscheduler/restart.go
+++ b/entry/anvilscheduler/restart.go
@@ -49,6 +49,7 @@
 	l.endIncarnation(w, "restarted", len(tasks))
 	next := l.addWorker(reg)
 	next.recordRestart(l.clock.Now())
+	l.requireFence(next)
 	for _, t := range tasks {
 		l.rebind(t, next)
 	}
@@ -102,7 +103,7 @@
 	for key, at := range w.lateStarts {
 		bound := key.task.worker == w && key.task.run == key.run
 		if now-at < lateOrderWindow && !bound {
-			l.sendStop(next, nil, StopOrder{task: key.task.id, run: key.run, token: l.leadership.token}, now)
+			l.sendStop(next, nil, StopOrder{task: key.task.id, run: key.run, token: next.fence}, now)
 		}
 	}
 }
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -213,7 +213,7 @@
 		if b.task.run != b.run || b.task.machine.State() != taskPlaced {
 			continue
 		}
-		if w := b.task.worker; w.awaitsLateAck() || w.leasesBounded() || w.failures >= unresponsiveAfter {
+		if w := b.task.worker; w.awaitsLateAck() || w.leasesBounded() || w.minFence != 0 || w.failures >= unresponsiveAfter {
 			l.fireTask(b.task, "refused")
 			continue
 		}
@@ -255,14 +255,14 @@
 func (l *Loop) sendStart(t *task, now anvilclock.Millis) {
 	w := t.worker
 	o := StartOrder{
-		task: t.id, run: t.run, payload: t.stage.job.sub.Spec().Payload(), token: l.leadership.token,
+		task: t.id, run: t.run, payload: t.stage.job.sub.Spec().Payload(), token: w.fence,
 		until: w.leaseUntil(now), checkpoint: t.resumeFrom(), ticket: t.ticket.text,
 	}
 	w.extendLease(now)
 	t.lastProgress, t.lastStart = now, now
 	w.unverified[startKey{t, t.run}] = now
 	w.recordLateStart(startKey{t, t.run}, now)
-	m := startAnswered{token: l.leadership.token, worker: w, task: t, run: t.run, sent: now, earliestClock: w.earliestClock(now)}
+	m := startAnswered{token: l.leadership.token, fence: o.token, worker: w, task: t, run: t.run, sent: now, earliestClock: w.earliestClock(now)}
 	ctx, workers, to, delay := l.leadershipContext(), l.workers, w.target(), l.secondStartDelay
 	l.spawn(func() {
 		ctx, cancel := withTimeout(ctx, orderTimeout)
@@ -328,7 +328,7 @@
 	l.log.Record(anvilevent.StartRefused, "task", t.id.String(), "run", t.run, "worker", w.id(), "fault", string(e.fault), "error", e.Error())
 	l.meter.Count("start." + string(e.fault))
 	t.unconfirmed = t.unconfirmed || m.unanswered
-	l.handleOrderError(w, m.err, now)
+	l.handleOrderError(w, m.fence, m.err, now)
 	if t.worker != w || t.run != m.run || t.machine.State() != taskStarting {
 		return
 	}
@@ -380,7 +380,7 @@
 func (l *Loop) stopTask(t *task, now anvilclock.Millis) {
 	t.stopSent = now
 	l.log.Record(anvilevent.RunStopped, "task", t.id.String(), "run", t.run, "worker", t.worker.id())
-	l.sendStop(t.worker, t, StopOrder{task: t.id, run: t.run, token: l.leadership.token}, now)
+	l.sendStop(t.worker, t, StopOrder{task: t.id, run: t.run, token: t.worker.fence}, now)
 }
 
 // sendStop sends a stop on a traffic goroutine; t is nil for a run that is bound to no task.
@@ -388,7 +388,7 @@
 	if w.registration.addr == "" || !l.mayOrder(now) {
 		return
 	}
-	m := stopAnswered{token: l.leadership.token, worker: w, task: t, run: o.run}
+	m := stopAnswered{token: l.leadership.token, fence: o.token, worker: w, task: t, run: o.run}
 	ctx, workers, to := l.leadershipContext(), l.workers, w.target()
 	l.spawn(func() {
 		ctx, cancel := withTimeout(ctx, orderTimeout)
@@ -404,7 +404,7 @@
 	}
 	now := l.clock.Now()
 	if m.err != nil {
-		l.handleOrderError(m.worker, m.err, now)
+		l.handleOrderError(m.worker, m.fence, m.err, now)
 		return
 	}
 	m.worker.recordReply(m.clock, now)
