anvilsoak: add rounds of lost workers and disturbed leaders with long-running jobs

Change: soak -lasting submits four jobs of six long-running tasks beside short jobs and injects rounds of faults: workers are lost or isolated, the leader is disturbed once or twice around that time, at times the store is away, and then all is calm. The audit records disruptions and reports a task that has no run for more than 3 s, from 6 s after its last run and 4 s after the last disruption. The stand-in takes the longest lease and the time for a stop as parameters: 6,000 and 200 ms here, with clocks that are 1 to 2% slow.

--- a/load/anvilsoak/audit.go
+++ b/load/anvilsoak/audit.go
@@ -60,11 +60,13 @@
 	state           string
 	started         bool
 	successes       map[anviljob.TaskID][]*successfulEnd
-	failures        map[anviljob.TaskID]int
+	// absences holds the tasks that have run and have no run now.
+	absences map[anviljob.TaskID]absence
+	failures map[anviljob.TaskID]int
 }
 
 func newJobState(j *jobPlan) *jobState {
-	return &jobState{job: j, successes: map[anviljob.TaskID][]*successfulEnd{}, failures: map[anviljob.TaskID]int{}}
+	return &jobState{job: j, successes: map[anviljob.TaskID][]*successfulEnd{}, failures: map[anviljob.TaskID]int{}, absences: map[anviljob.TaskID]absence{}}
 }
 
 type limitChange struct {
@@ -84,6 +86,7 @@
 	lagPPM       map[string]int
 	incarnations map[string]int
 	limits       map[string][]limitChange
+	disruptions  []*disruption
 	pending      []anvilplatformapi.TraceEvent
 	violations   []string
 	starts       int
@@ -159,7 +162,7 @@
 	case anvilplatformworker.Overcommitted:
 		a.violate("LIMIT", "worker %s has %s", t.Worker(), e.Text())
 	case exited:
-		a.endIncarnation(t.Worker())
+		a.endIncarnation(t.Worker(), t.At())
 	}
 }
 
@@ -180,11 +183,15 @@
 }
 
 // endIncarnation ends all runs of the current incarnation of a worker.
-func (a *audit) endIncarnation(worker string) {
+func (a *audit) endIncarnation(worker string, at anvilclock.Millis) {
 	a.incarnations[worker]++
 	delete(a.leaseEnd, worker)
 	for task, runs := range a.running {
-		a.running[task] = slices.DeleteFunc(runs, func(r *runState) bool { return r.worker == worker })
+		for _, r := range runs {
+			if r.worker == worker {
+				a.removeRun(task, worker, r.run, at, "with its worker")
+			}
+		}
 	}
 }
 
@@ -217,6 +224,7 @@
 		}
 	}
 	a.checkOrder(j, task)
+	a.endAbsence(j, task, at)
 	step := j.job.steps[task.Step()]
 	a.running[task] = append(a.running[task], &runState{
 		worker: t.Worker(), run: e.Run(), size: step.size, team: j.job.team,
@@ -272,7 +280,7 @@
 func (a *audit) recordEnd(t anvilplatformapi.TraceEvent) {
 	e := t.Event()
 	task := e.Task()
-	a.running[task] = slices.DeleteFunc(a.running[task], func(r *runState) bool { return r.worker == t.Worker() && r.run == e.Run() })
+	a.removeRun(task, t.Worker(), e.Run(), t.At(), e.Cause())
 	j := a.jobs[task.Job()]
 	if j == nil {
 		return
@@ -366,7 +374,9 @@
 			continue
 		}
 		switch {
-		case j.job.longRunning || j.state == "failed":
+		case j.job.longRunning:
+			a.checkAbsences(j, nowMillis())
+		case j.state == "failed":
 		case j.state != "completed":
 			a.violate("LOST", "accepted job %s is in state %q at the end of the run", id, j.state)
 		default:
--- a/load/anvilsoak/audit_test.go
+++ b/load/anvilsoak/audit_test.go
@@ -46,23 +46,22 @@
 	return h.add(worker, at, anvilplatformworker.NewEvent(exited, anviljob.TaskID{}, 0))
 }
 
-// assertRules checks that the audit finds violations of exactly these rules. Worker w2 has a clock that is 2% slow.
-func assertRules(t *testing.T, h *history, want ...string) {
-	t.Helper()
-	a := newAudit()
-	defer close(a.closed)
-	size := anvilsize.New(500, 128, 0)
-	j := &jobPlan{
-		id: testJob, team: "team0", occurrences: 2,
-		steps: []stepPlan{{count: 2, size: size}, {count: 2, size: size, after: []int{0}, gang: true}},
-	}
-	var rules []string
+// newTestAudit returns an audit that knows a job, and the state of the job. Worker w2 has a clock that is 2% slow.
+func newTestAudit(plan *jobPlan) (*audit, *jobState) {
+	a, j := newAudit(), newJobState(plan)
 	a.call(func(a *audit) {
-		a.jobs[testJob] = newJobState(j)
+		a.jobs[testJob] = j
 		a.limits["team0"] = []limitChange{{limit: anvilsize.New(100_000, 100_000, 0)}}
 		a.lagPPM["w2"] = 20_000
-		a.pending = h.events
-		a.processUntil(1 << 40)
+	})
+	return a, j
+}
+
+// assertViolated checks that the audit has found violations of exactly these rules.
+func assertViolated(t *testing.T, a *audit, want ...string) {
+	t.Helper()
+	var rules []string
+	a.call(func(a *audit) {
 		for _, v := range a.violations {
 			rule, _, _ := strings.Cut(v, ":")
 			rules = append(rules, rule)
@@ -73,6 +72,22 @@
 	}
 }
 
+// assertRules checks that the audit finds violations of exactly these rules.
+func assertRules(t *testing.T, h *history, want ...string) {
+	t.Helper()
+	size := anvilsize.New(500, 128, 0)
+	a, _ := newTestAudit(&jobPlan{
+		id: testJob, team: "team0", occurrences: 2,
+		steps: []stepPlan{{count: 2, size: size}, {count: 2, size: size, after: []int{0}, gang: true}},
+	})
+	defer close(a.closed)
+	a.call(func(a *audit) {
+		a.pending = h.events
+		a.processUntil(1 << 40)
+	})
+	assertViolated(t, a, want...)
+}
+
 func TestTwice(t *testing.T) {
 	first := anviljob.NewTaskID(testJob, 0, 0, 0)
 	second := anviljob.NewTaskID(testJob, 0, 0, 1)
--- a/load/anvilsoak/churn.go
+++ b/load/anvilsoak/churn.go
@@ -76,9 +76,12 @@
 	return j, nil
 }
 
-// nextJob returns the next job of the load.
-func (s *Soak) nextJob(rng *rand.Rand) (*jobPlan, error) {
-	if s.rate > 0 {
+// nextJob returns the next job of the load after n jobs.
+func (s *Soak) nextJob(rng *rand.Rand, n int) (*jobPlan, error) {
+	switch {
+	case s.longRunning && n < longRunningJobs:
+		return newLongRunningJob(rng, n)
+	case s.longRunning || s.rate > 0:
 		return newShortJob(rng)
 	}
 	return newJob(rng, s.mix)
--- a/load/anvilsoak/churn_test.go
+++ b/load/anvilsoak/churn_test.go
@@ -49,7 +49,7 @@
 	rng, queues := rand.New(rand.NewPCG(1, 1)), map[string]int{}
 	s := &Soak{rate: 50}
 	for range 200 {
-		j, err := s.nextJob(rng)
+		j, err := s.nextJob(rng, 0)
 		interval := s.untilNextJob(rng, 1, 0)
 		if err != nil || interval != 20*time.Millisecond || len(j.steps) != 1 || j.steps[0].count != 1 || j.cancelAfter != 0 {
 			t.Fatalf("got %+v after %s, error %v", j, interval, err)
--- a/load/anvilsoak/domain.go
+++ b/load/anvilsoak/domain.go
@@ -37,6 +37,7 @@
 const (
 	fleetStream  = 2
 	domainStream = 3
+	roundStream  = 4
 )
 
 const (
@@ -92,7 +93,10 @@
 
 // schedule returns the faults of the run. They depend on the seed and the options only.
 func (s *Soak) schedule() []Fault {
-	if !s.domains {
+	switch {
+	case s.longRunning:
+		return roundSchedule(s.seed, s.length, s.workers)
+	case !s.domains:
 		return Schedule(s.seed, s.length)
 	}
 	out := domainSchedule(s.seed, s.length, s.mix.bursts)
@@ -216,6 +220,10 @@
 		f.kind = KillEntry
 	case PauseLeader:
 		f.kind = PauseEntry
+	case KillTwoLeaders:
+		return s.killTwoLeaders(ctx, e, f)
+	case TerminateLeader:
+		f.kind = TerminateEntry
 	default:
 		f.kind = StopEntry
 	}
--- a/load/anvilsoak/fleet.go
+++ b/load/anvilsoak/fleet.go
@@ -56,6 +56,11 @@
 	platform *process
 	entries  []*entryNode
 	workers  []*workerNode
+	// maxLease and stopGrace are the bounds of the platform for runs.
+	maxLease, stopGrace anvilclock.Millis
+	// minLagPPM is the smallest lag of a clock that rng draws, and latePercent the percentage of the starts that every fourth
+	// worker carries out late.
+	minLagPPM, latePercent int
 	// rng draws the clock rate and the linger time of each worker; if it is nil, every fourth worker has a slow clock.
 	rng *rand.Rand
 	// trace is the file to which the events of all workers are copied.
@@ -117,7 +122,7 @@
 			return err
 		}
 		if f.rng != nil {
-			w.lagPPM, w.linger = f.rng.IntN(maxLagPPM+1), anvilclock.Millis(f.rng.Int64N(int64(maxLinger)))
+			w.lagPPM, w.linger = f.minLagPPM+f.rng.IntN(maxLagPPM-f.minLagPPM+1), anvilclock.Millis(f.rng.Int64N(int64(maxLinger)))
 		} else if i%4 == 2 {
 			w.lagPPM = maxLagPPM
 		}
@@ -149,7 +154,8 @@
 	if i%2 == 1 {
 		share = 0.3
 	}
-	e.settings = anvilplatformapi.NewSettings(fmt.Sprintf("e%d", i), ip, fmt.Sprintf("d%d", i%domainCount), "r1", proxyAddr, proxyAddr, entryPort, share)
+	e.settings = anvilplatformapi.NewSettings(fmt.Sprintf("e%d", i), ip, fmt.Sprintf("d%d", i%domainCount), "r1", proxyAddr, proxyAddr, entryPort, share,
+		anvilplatformapi.WithRunBounds(f.maxLease, f.stopGrace))
 	if err := os.WriteFile(e.file, []byte(e.settings.Text()), 0o600); err != nil {
 		return err
 	}
@@ -170,7 +176,7 @@
 func (f *fleet) startWorker(w *workerNode) error {
 	latePercent := 0
 	if w.index%4 == 1 {
-		latePercent = 4
+		latePercent = f.latePercent
 	}
 	id := w.id()
 	f.audit.call(func(a *audit) { a.lagPPM[id] = w.lagPPM })
@@ -178,7 +184,7 @@
 		"-id", w.id(), "-addr", f.addr(workerHost+w.index, workerPort), "-listed", f.addr(workerProxyHost+w.index, workerPort),
 		"-site", f.addr(storeProxyHost+w.index, platformPort), "-pool", pool, "-domain", fmt.Sprintf("d%d", w.domain()),
 		"-rack", fmt.Sprintf("r%d", w.index/2), "-size", workerSize, "-late", fmt.Sprint(latePercent), "-slow", fmt.Sprint(float64(w.lagPPM)/10_000),
-		"-linger", fmt.Sprint(int64(w.linger)))
+		"-linger", fmt.Sprint(int64(w.linger)), "-lease", fmt.Sprint(int64(f.maxLease)))
 	if err != nil {
 		return err
 	}
--- a/load/anvilsoak/inject.go
+++ b/load/anvilsoak/inject.go
@@ -19,13 +19,15 @@
 	switch f.kind {
 	case CutDomain, MuteDomain, PauseDomain, KillDomain, DrainDomain:
 		return s.injectDomainFault(ctx, f)
-	case KillLeader, PauseLeader, StopLeader, CutLeader:
+	case KillLeader, PauseLeader, StopLeader, CutLeader, KillTwoLeaders, TerminateLeader:
 		return s.injectLeaderFault(ctx, f)
-	case KillEntry, StopEntry, PauseEntry, ReloadEntry:
+	case KillEntry, StopEntry, PauseEntry, ReloadEntry, TerminateEntry:
 		return s.injectEntryFault(ctx, e, f)
 	case KillAll:
 		return s.killAll(ctx, f)
-	case KillWorker, LeaveWorker, PauseWorker:
+	case IsolateWorker:
+		f.isolate(ctx, w)
+	case KillWorker, LeaveWorker, PauseWorker, LoseWorker, ReplaceWorker, SupersedeWorker:
 		return s.injectWorkerFault(ctx, w, f)
 	case CutEntry, MuteEntry, DelayEntry, ResetEntry:
 		s.injectLinkFault(ctx, e.proxy, f)
@@ -61,7 +63,7 @@
 func (s *Soak) injectEntryFault(ctx context.Context, e *entryNode, f Fault) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if f.kind == StopEntry || f.kind == ReloadEntry {
+	if f.kind == StopEntry || f.kind == ReloadEntry || f.kind == TerminateEntry {
 		// A program that has not installed its signal handlers yet would be ended by the signal.
 		if err := waitListening(e.settings.ReadyAddr()); err != nil {
 			return err
@@ -71,6 +73,11 @@
 	case KillEntry:
 		e.process.signal(syscall.SIGKILL)
 		<-e.process.done
+	case TerminateEntry:
+		e.process.signal(syscall.SIGTERM)
+		e.process.wait(terminateTime)
+		e.process.signal(syscall.SIGKILL)
+		<-e.process.done
 	case StopEntry:
 		e.process.signal(syscall.SIGTERM)
 		if !e.process.wait(anvilplatformapi.ShutdownGrace.Duration() + time.Second) {
@@ -89,7 +96,7 @@
 		e.process.signal(syscall.SIGHUP)
 		return nil
 	}
-	sleep(ctx, min(f.span, time.Second))
+	sleep(ctx, s.downtime(f, time.Second))
 	return s.fleet.startEntry(e)
 }
 
@@ -116,7 +123,16 @@
 	switch f.kind {
 	case KillWorker:
 		s.fleet.killWorker(w)
-		sleep(ctx, min(f.span, 2*time.Second))
+		sleep(ctx, s.downtime(f, 2*time.Second))
+	case LoseWorker:
+		s.fleet.killWorker(w)
+		return nil
+	case SupersedeWorker:
+		s.fleet.killWorker(w)
+		sleep(ctx, f.span)
+		w.generation++
+	case ReplaceWorker:
+		w.generation++
 	case LeaveWorker:
 		w.process.signal(syscall.SIGTERM)
 		if !w.process.wait(2 * anvilplatformapi.ShutdownGrace.Duration()) {
--- a/load/anvilsoak/jobs.go
+++ b/load/anvilsoak/jobs.go
@@ -53,6 +53,9 @@
 	cancelAfter anvilclock.Millis
 }
 
+// endless reports whether the job runs until the end of the soak.
+func (j *jobPlan) endless() bool { return j.longRunning && j.cancelAfter == 0 }
+
 func (j *jobPlan) path() string { return prefixOf(j.queue) + j.id }
 
 // jobMix says which jobs a run submits besides the usual ones.
--- /dev/null
+++ b/load/anvilsoak/round_test.go
@@ -0,0 +1,77 @@
+package anvilsoak
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+const (
+	testWorkers = 10
+	testLength  = 3 * time.Minute
+)
+
+// roundsOf returns the faults of a seed and asserts that they depend on it only.
+func roundsOf(t *testing.T, seed uint64) []Fault {
+	t.Helper()
+	all := roundSchedule(seed, testLength, testWorkers)
+	if !slices.Equal(all, roundSchedule(seed, testLength, testWorkers)) {
+		t.Fatalf("seed %d gives different faults", seed)
+	}
+	return all
+}
+
+// Guards against rounds that don't bring the loss of workers and the faults of the leader close together, or that leave too
+// little time to check that all tasks run again.
+func TestRoundSchedule(t *testing.T) {
+	t.Run("all kinds occur", func(t *testing.T) {
+		seen := map[Kind]bool{}
+		for seed := range uint64(20) {
+			for _, f := range roundsOf(t, seed) {
+				seen[f.kind] = true
+			}
+		}
+		for _, kind := range slices.Concat(roundWorkerKinds, roundLeaderKinds, []Kind{StoreFault}) {
+			if !seen[kind] {
+				t.Errorf("%s never occurs", kind)
+			}
+		}
+	})
+	t.Run("a round ends with a calm time", func(t *testing.T) {
+		for seed := range uint64(20) {
+			var end time.Duration
+			for _, f := range roundsOf(t, seed) {
+				if f.kind == ReplaceWorker {
+					continue
+				}
+				if f.at > end+leaderLag && end > 0 && f.at < end+calmTime-time.Second {
+					t.Errorf("seed %d: %s comes %s after the last fault", seed, f, f.at-end)
+				}
+				end = max(end, f.at+f.span)
+			}
+		}
+	})
+	t.Run("only lost workers are replaced", func(t *testing.T) {
+		for seed := range uint64(20) {
+			lost := map[int]bool{}
+			for _, f := range roundsOf(t, seed) {
+				switch f.kind {
+				case LoseWorker:
+					lost[f.target] = true
+				case ReplaceWorker:
+					if !lost[f.target] {
+						t.Errorf("seed %d: worker %d is replaced but not lost", seed, f.target)
+					}
+					delete(lost, f.target)
+				default:
+					if slices.Contains(roundWorkerKinds, f.kind) && lost[f.target] {
+						t.Errorf("seed %d: %s hits a lost worker", seed, f)
+					}
+				}
+			}
+			if len(lost) > 0 {
+				t.Errorf("seed %d: %v are not replaced", seed, lost)
+			}
+		}
+	})
+}
--- a/load/anvilsoak/soak.go
+++ b/load/anvilsoak/soak.go
@@ -30,7 +30,9 @@
 	noFaults bool
 	mix      jobMix
 	domains  bool
-	idle     time.Duration
+	// longRunning submits long-running jobs and injects the rounds of faults of roundSchedule.
+	longRunning bool
+	idle        time.Duration
 	// rate is the number of short jobs a second; 0 for random jobs. fixed holds the faults that are injected instead of random
 	// ones if noFaults is set.
 	rate  int
@@ -152,8 +154,14 @@
 	if err != nil {
 		return Result{}, err
 	}
-	s.fleet = &fleet{bin: bin, dir: s.dir, net: newNetwork(), spawner: newSpawner(), audit: s.audit}
-	if s.domains {
+	s.fleet = &fleet{
+		bin: bin, dir: s.dir, net: newNetwork(), spawner: newSpawner(), audit: s.audit, latePercent: 4,
+		maxLease: anvilplatformapi.MaxLease, stopGrace: anvilplatformapi.StopGrace,
+	}
+	if s.longRunning {
+		s.fleet.maxLease, s.fleet.stopGrace, s.fleet.minLagPPM, s.fleet.latePercent = shortLease, shortStopGrace, maxLagPPM/2, 0
+	}
+	if s.domains || s.longRunning {
 		s.fleet.rng = rand.New(rand.NewPCG(s.seed, fleetStream))
 	}
 	defer s.fleet.close()
@@ -218,12 +226,12 @@
 
 // runJobs submits jobs while faults are injected, waits until the jobs have ended and returns their number.
 func (s *Soak) runJobs(ctx context.Context, faults []Fault) int {
-	var clients, injections sync.WaitGroup
+	var clients, endless, injections sync.WaitGroup
 	begin := time.Now()
 	for _, f := range faults {
 		injections.Go(func() {
 			sleep(ctx, s.idle+f.at-time.Since(begin))
-			if err := s.inject(ctx, f); err != nil {
+			if err := s.injectRecorded(ctx, f); err != nil {
 				fmt.Fprintf(os.Stderr, "fault %s: %v\n", f, err)
 			}
 		})
@@ -240,14 +248,18 @@
 			sleep(ctx, idle)
 			idle = 0
 		}
-		j, err := s.nextJob(rng)
+		j, err := s.nextJob(rng, jobs)
 		if err != nil {
 			s.addViolation("JOB: %v", err)
 			break
 		}
 		clientRNG := rand.New(rand.NewPCG(s.seed, rng.Uint64()))
 		jobs++
-		clients.Go(func() { s.runClient(clientCtx, j, clientRNG) })
+		group := &clients
+		if j.endless() {
+			group = &endless
+		}
+		group.Go(func() { s.runClient(clientCtx, j, clientRNG) })
 		interval := s.untilNextJob(rng, jobs, time.Since(begin)-s.idle)
 		if s.rate == 0 {
 			sleep(ctx, interval)
@@ -273,6 +285,8 @@
 		stop()
 		<-finished
 	}
+	stop()
+	endless.Wait()
 	return jobs
 }
 
@@ -280,6 +294,8 @@
 // ended.
 func (s *Soak) untilNextJob(rng *rand.Rand, jobs int, elapsed time.Duration) time.Duration {
 	switch {
+	case s.longRunning:
+		return s.untilNextShortJob(rng, jobs)
 	case s.rate > 0:
 		return time.Second / time.Duration(s.rate)
 	case s.mix.bursts && jobs%burstJobs == 0:
--- a/load/soak.go
+++ b/load/soak.go
@@ -25,6 +25,7 @@
 	entries int
 	workers int
 	domains bool
+	lasting bool
 	idle    int
 	rate    int
 	faults  string
@@ -36,8 +37,8 @@
 	return "run the programs on the stand-in of the users' platform under faults and check the promises"
 }
 func (*soakCommand) Usage() string {
-	return "anvilload soak [-bin DIR] [-seed N] [-seeds N] [-seconds N] [-entries N] [-workers N] [-domains] [-idle N]\n" +
-		"    [-rate N] [-faults LIST] [-logs DIR]\n" +
+	return "anvilload soak [-bin DIR] [-seed N] [-seeds N] [-seconds N] [-entries N] [-workers N] [-domains] [-lasting]\n" +
+		"    [-idle N] [-rate N] [-faults LIST] [-logs DIR]\n" +
 		"  Runs seeds one after the other. The logs of a seed with a violation are kept.\n"
 }
 
@@ -49,6 +50,7 @@
 	f.IntVar(&c.entries, "entries", 4, "number of entry instances")
 	f.IntVar(&c.workers, "workers", 8, "number of workers")
 	f.BoolVar(&c.domains, "domains", false, "add faults of whole failure domains and of the leader, and long jobs")
+	f.BoolVar(&c.lasting, "lasting", false, "submit long-running jobs, and inject rounds of lost workers and disturbed leaders")
 	f.IntVar(&c.idle, "idle", 0, "for how many seconds no job is submitted before the first fault")
 	f.IntVar(&c.rate, "rate", 0, "submit this many jobs a second of one short task each, and no random jobs and faults")
 	f.StringVar(&c.faults, "faults", "", "with -rate, the faults to inject, such as compact@285s,kill-leader@290s,slow@60s+120s")
@@ -96,6 +98,9 @@
 	if c.domains {
 		opts = append(opts, anvilsoak.WithDomainFaults())
 	}
+	if c.lasting {
+		opts = append(opts, anvilsoak.WithLongRunning())
+	}
 	dir, err := os.MkdirTemp(c.logs, fmt.Sprintf("anvilload-soak-%d-", seed))
 	if err != nil {
 		return false, err
--- a/standin/anvilplatformapi/settings.go
+++ b/standin/anvilplatformapi/settings.go
@@ -24,15 +24,30 @@
 	platform, advisor        string
 	firstPort                int
 	cpuShare                 float64
+	maxLease, stopGrace      anvilclock.Millis
+}
+
+// SettingsOption sets an optional property of Settings.
+type SettingsOption func(*Settings)
+
+// WithRunBounds sets the longest lease of a worker's runs and the longest time from a stop order to the end of the run. The
+// defaults are MaxLease and StopGrace.
+func WithRunBounds(maxLease, stopGrace anvilclock.Millis) SettingsOption {
+	return func(s *Settings) { s.maxLease, s.stopGrace = maxLease, stopGrace }
 }
 
 // NewSettings returns the settings of an instance at an address. The instance uses six consecutive ports from firstPort:
 // one for callers, one for readiness and four internal ones. The platform and the advisor are addresses, and cpuShare is
 // the fraction of a core that the instance may use.
-func NewSettings(name, ip, domain, region, platform, advisor string, firstPort int, cpuShare float64) Settings {
-	return Settings{
+func NewSettings(name, ip, domain, region, platform, advisor string, firstPort int, cpuShare float64, opts ...SettingsOption) Settings {
+	s := Settings{
 		name: name, ip: ip, domain: domain, region: region, platform: platform, advisor: advisor, firstPort: firstPort, cpuShare: cpuShare,
+		maxLease: MaxLease, stopGrace: StopGrace,
+	}
+	for _, opt := range opts {
+		opt(&s)
 	}
+	return s
 }
 
 // CallerAddr returns the address for the requests of callers.
@@ -66,7 +81,7 @@
 	fmt.Fprintf(&b, "heartbeat_interval_ms = %d\norders = \"invocation\"\nadvice = %q\n", HeartbeatInterval, s.advisor)
 	fmt.Fprintf(&b, "[listen]\nfrontend = %q\nready = %q\n", s.CallerAddr(), s.ReadyAddr())
 	fmt.Fprintf(&b, "[limits]\ncpu_share = %g\ncores = 1\nmemory_mb = 512\nfile_descriptors = 4096\n", s.cpuShare)
-	fmt.Fprintf(&b, "[bounds]\ngrace_s = %d\nmax_hold_ms = %d\nstop_grace_ms = %d\n", ShutdownGrace/1000, MaxLease, StopGrace)
+	fmt.Fprintf(&b, "[bounds]\ngrace_s = %d\nmax_hold_ms = %d\nstop_grace_ms = %d\n", ShutdownGrace/1000, s.maxLease, s.stopGrace)
 	fmt.Fprintf(&b, "[platform]\naddress = %q\n", s.platform)
 	return b.String()
 }
--- a/standin/minion.go
+++ b/standin/minion.go
@@ -28,6 +28,7 @@
 	pool, domain, rack                 string
 	size                               string
 	latePercent, lingerMillis          int
+	maxLeaseMillis                     int64
 	slowPercent                        float64
 }
 
@@ -49,6 +50,7 @@
 	f.IntVar(&c.latePercent, "late", 0, "percent of the starts that are carried out late and not answered")
 	f.Float64Var(&c.slowPercent, "slow", 0, "percent by which the worker's clock is slow, with up to four decimals")
 	f.IntVar(&c.lingerMillis, "linger", 0, "milliseconds that the worker serves on after the time for draining")
+	f.Int64Var(&c.maxLeaseMillis, "lease", int64(anvilplatformapi.MaxLease), "milliseconds of the longest lease")
 }
 
 // slowClock is a clock that starts at 1 and runs slower than the machine's by ppm parts per million.
@@ -70,8 +72,8 @@
 	}
 	log = log.WithValues("worker", c.id)
 	size, err := anvilsize.Parse(c.size)
-	if err != nil || c.id == "" || c.latePercent < 0 || c.latePercent > 100 || c.slowPercent < 0 || c.slowPercent > 50 || c.lingerMillis < 0 {
-		log.Info("id must be set, size must be cores,MiB,accelerators, late 0 to 100, slow 0 to 50 and linger not negative")
+	if err != nil || c.id == "" || c.latePercent < 0 || c.latePercent > 100 || c.slowPercent < 0 || c.slowPercent > 50 || c.lingerMillis < 0 || c.maxLeaseMillis < 1 {
+		log.Info("id must be set, size must be cores,MiB,accelerators, late 0 to 100, slow 0 to 50, linger not negative and lease positive")
 		return subcommands.ExitUsageError
 	}
 	if err := c.run(ctx, size, log); err != nil {
@@ -91,7 +93,7 @@
 	startedAt := time.Now().UnixMilli()
 	actor := anvilactor.New[*anvilplatformworker.Worker]()
 	worker, err := anvilplatformworker.New(c.id, size, clock, anvilplatformapi.NewTracer(os.Stdout, c.id, clock), anvilplatformapi.NewGangs(c.platform, actor),
-		anvilplatformworker.WithSlowClock(clock.ppm), anvilplatformworker.WithMaxLease(anvilplatformapi.MaxLease))
+		anvilplatformworker.WithSlowClock(clock.ppm), anvilplatformworker.WithMaxLease(anvilclock.Millis(c.maxLeaseMillis)))
 	if err != nil {
 		return err
 	}
