anvilsoak: check the times of the faults of a round

Cause: the test of the calm time let a fault pass that came shortly after the others of its round.

Change: the test checks each round by itself: workers are lost at one time, the other faults are near it, and the calm time follows.

--- a/load/anvilsoak/round.go
+++ b/load/anvilsoak/round.go
@@ -99,22 +99,19 @@
 	// Workers are lost, isolated or, in half of the rounds, both.
 	both, isolateOnly := rng.IntN(2) == 0, rng.IntN(2) == 0
 	victims := rng.Perm(workers)[:max(workers-keptWorkers, 1)]
-	next := func() (target int, ok bool) {
-		if len(victims) == 0 {
-			return 0, false
-		}
-		target, victims = victims[0], victims[1:]
-		return target, true
+	take := func(n int) []int {
+		n = min(n, len(victims))
+		taken := victims[:n]
+		victims = victims[n:]
+		return taken
 	}
 	var lost []int
 	if both || !isolateOnly {
-		for range 1 + rng.IntN(4) {
-			target, ok := next()
-			switch kind := rng.IntN(4); {
-			case !ok:
-			case kind == 0:
+		for _, target := range take(1 + rng.IntN(4)) {
+			switch rng.IntN(4) {
+			case 0:
 				add(KillWorker, at, restartTime, target)
-			case kind == 1:
+			case 1:
 				add(SupersedeWorker, at, between(500*time.Millisecond, 5*time.Second), target)
 			default:
 				add(LoseWorker, at, 0, target)
@@ -123,10 +120,8 @@
 		}
 	}
 	if both || isolateOnly {
-		for range 1 + rng.IntN(3) {
-			if target, ok := next(); ok {
-				add(IsolateWorker, at, between(5*time.Second, 9*time.Second), target)
-			}
+		for _, target := range take(1 + rng.IntN(3)) {
+			add(IsolateWorker, at, between(5*time.Second, 9*time.Second), target)
 		}
 	}
 	for range []int{0, 1, 1, 1, 2, 2}[rng.IntN(6)] {
--- a/load/anvilsoak/round_test.go
+++ b/load/anvilsoak/round_test.go
@@ -1,6 +1,7 @@
 package anvilsoak
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -37,17 +38,36 @@
 			}
 		}
 	})
-	t.Run("a round ends with a calm time", func(t *testing.T) {
+	t.Run("faults are close together, and a calm time follows", func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(1, roundStream))
+		for range 200 {
+			round, end := newRound(rng, firstRound, testWorkers)
+			for _, f := range round {
+				after := f.at - firstRound
+				switch {
+				case f.kind == ReplaceWorker:
+					if f.at != end-calmTime+replaceDelay {
+						t.Errorf("%s comes %s before the end of the round", f, end-f.at)
+					}
+					continue
+				case slices.Contains(roundWorkerKinds, f.kind) && after != 0, after < -leaderLead, after >= leaderLag:
+					t.Errorf("%s comes %s after the loss of workers", f, after)
+				}
+				if calm := end - f.at - f.span; calm < calmTime {
+					t.Errorf("the time after %s is only %s", f, calm)
+				}
+			}
+		}
+	})
+	t.Run("rounds don't overlap", func(t *testing.T) {
 		for seed := range uint64(20) {
 			var end time.Duration
 			for _, f := range roundsOf(t, seed) {
 				if f.kind == ReplaceWorker {
-					continue
-				}
-				if f.at > end+leaderLag && end > 0 && f.at < end+calmTime-time.Second {
-					t.Errorf("seed %d: %s comes %s after the last fault", seed, f, f.at-end)
+					end = f.at
+				} else if f.at < end {
+					t.Errorf("seed %d: %s begins before lost workers are replaced", seed, f)
 				}
-				end = max(end, f.at+f.span)
 			}
 		}
 	})
