anvilsoak: leave room for all long-running tasks twice over

Cause: with 8 workers of which four are lost, the long-running tasks of a round did not fit on the others, so that some counted as lost for want of room.

Change: the size of the tasks depends on the number of workers. A test checks the room that is left, and that no team has half of its limit running.

--- a/load/anvilsoak/churn.go
+++ b/load/anvilsoak/churn.go
@@ -80,7 +80,7 @@
 func (s *Soak) nextJob(rng *rand.Rand, n int) (*jobPlan, error) {
 	switch {
 	case s.longRunning && n < longRunningJobs:
-		return newLongRunningJob(rng, n)
+		return newLongRunningJob(rng, n, s.workers)
 	case s.longRunning || s.rate > 0:
 		return newShortJob(rng)
 	}
--- a/load/anvilsoak/fleet.go
+++ b/load/anvilsoak/fleet.go
@@ -43,8 +43,11 @@
 	maxLinger = anvilclock.Millis(6000)
 )
 
-// workerSize is the capacity of a worker. It is small so that capacity is scarce.
-const workerSize = "8,16384,0"
+// workerSize is the capacity of a worker. It is small so that capacity is scarce. workerCPU is its cores, in thousandths.
+const (
+	workerSize = "8,16384,0"
+	workerCPU  = 8000
+)
 
 // fleet holds all processes of a run, which are the platform, the workers and the entry instances, and the proxies
 // between them.
--- a/load/anvilsoak/round.go
+++ b/load/anvilsoak/round.go
@@ -46,6 +46,8 @@
 	// longRunningJobs is the number of long-running jobs and longRunningTasks the number of tasks of each.
 	longRunningJobs  = 4
 	longRunningTasks = 6
+	// maxLongRunningCPU limits the cores of a long-running task, in thousandths.
+	maxLongRunningCPU = 1600
 	// meanShortJobInterval is the mean time between two short jobs beside them.
 	meanShortJobInterval = time.Second
 )
@@ -70,7 +72,9 @@
 	minTakeover     = 1500 * time.Millisecond
 	maxTakeover     = 4 * time.Second
 	takeoverTimeout = 5 * time.Second
-	// keptWorkers is the number of workers that a round leaves alone.
+	// maxLost and maxIsolated limit how many workers a round kills or isolates, and keptWorkers is how many it leaves alone.
+	maxLost     = 4
+	maxIsolated = 3
 	keptWorkers = 2
 )
 
@@ -107,7 +111,7 @@
 	}
 	var lost []int
 	if both || !isolateOnly {
-		for _, target := range take(1 + rng.IntN(4)) {
+		for _, target := range take(1 + rng.IntN(maxLost)) {
 			switch rng.IntN(4) {
 			case 0:
 				add(KillWorker, at, restartTime, target)
@@ -120,7 +124,7 @@
 		}
 	}
 	if both || isolateOnly {
-		for _, target := range take(1 + rng.IntN(3)) {
+		for _, target := range take(1 + rng.IntN(maxIsolated)) {
 			add(IsolateWorker, at, between(5*time.Second, 9*time.Second), target)
 		}
 	}
@@ -212,15 +216,20 @@
 	return time.Duration(rng.Int64N(int64(2 * meanShortJobInterval)))
 }
 
-// newLongRunningJob returns the job number n with long-running tasks, which is not cancelled. Five tasks fit on a worker, so
-// that those of all jobs take several workers. A team with half of the jobs has less than half of its limit running.
-func newLongRunningJob(rng *rand.Rand, n int) (*jobPlan, error) {
+// longRunningCPU returns the cores, in thousandths, of each long-running task. The workers that a round leaves have room for all
+// tasks twice over, and a team with half of them has less than half of its limit running.
+func longRunningCPU(workers int) int64 {
+	return min(int64(max(workers-maxLost, 1))*workerCPU/(2*longRunningJobs*longRunningTasks), maxLongRunningCPU)
+}
+
+// newLongRunningJob returns the job number n with long-running tasks, which is not cancelled.
+func newLongRunningJob(rng *rand.Rand, n, workers int) (*jobPlan, error) {
 	team := n % teamCount
 	j := &jobPlan{
 		id: fmt.Sprintf("%016x", rng.Uint64()), queue: batchQueue, team: teamName(team), key: keySecret(team, rng.IntN(keyCount)),
 		attempts: attempts, occurrences: 1, longRunning: true,
 	}
-	size, millis := anvilsize.New(int64(1350+rng.IntN(200)), 512, 0), anvilclock.Millis(1000)
+	size, millis := anvilsize.New(longRunningCPU(workers), 512, 0), anvilclock.Millis(1000)
 	j.steps = []stepPlan{{count: longRunningTasks, size: size}}
 	spec := anvilplatformworker.NewTaskSpec(size, millis, anvilplatformworker.WithLongRunning(true))
 	payload, err := anvilplatformworker.Payload(spec)
--- a/load/anvilsoak/round_test.go
+++ b/load/anvilsoak/round_test.go
@@ -22,6 +22,31 @@
 	return all
 }
 
+// Guards against long-running tasks that count as lost although no room is left for them.
+func TestLongRunningJobs(t *testing.T) {
+	for workers := maxLost + 1; workers <= maxNodes; workers++ {
+		s, rng, used := &Soak{workers: workers, longRunning: true}, rand.New(rand.NewPCG(1, 1)), map[string]int64{}
+		for n := range longRunningJobs + 10 {
+			j, err := s.nextJob(rng, n)
+			if err != nil || j.endless() != (n < longRunningJobs) {
+				t.Fatalf("job %d is %+v, error %v", n, j, err)
+			}
+			if j.endless() {
+				used[j.team] += j.steps[0].size.CPU() * int64(j.steps[0].count)
+			}
+		}
+		var sum int64
+		for team, cpu := range used {
+			if sum += cpu; cpu*2 >= teamLimit(false).CPU() {
+				t.Errorf("%d workers: the tasks of %s take %d", workers, team, cpu)
+			}
+		}
+		if room := int64(workers-maxLost) * workerCPU; sum == 0 || sum*2 > room {
+			t.Errorf("%d workers: the tasks take %d of %d", workers, sum, room)
+		}
+	}
+}
+
 // Guards against rounds that don't bring the loss of workers and the faults of the leader close together, or that leave too
 // little time to check that all tasks run again.
 func TestRoundSchedule(t *testing.T) {
