anvilscheduler: leave out entries without the start of the process

An entry of a known worker that lacks born, at the address of another worker, replaced the worker: the other one answered 421, so the worker counted as gone and its tasks started a second time while they ran. TestOddEntryForOneHeartbeat failed with "task j1.0.0.0 starts on w2 while it runs on w1", with the same leader and while another one takes over. A worker whose process start is known names it in every entry; one without it is now unreadable.

A progress row with an occurrence that the job does not have made all its occurrences, up to 10,000, at the takeover (TestProgressOfUnknownOccurrence). It is now left out.

Unreadable entries are counted in entry.unreadable.

--- a/entry/anvilscheduler/adopt.go
+++ b/entry/anvilscheduler/adopt.go
@@ -159,6 +159,9 @@
 // adoptRuns restores the tasks of a job from a part of its progress record.
 func (l *Loop) adoptRuns(j *job, runs []anvilstorage.Run) {
 	for _, r := range runs {
+		if r.Occurrence() >= max(j.sub.Spec().Repeat().Count(), 1) {
+			continue
+		}
 		for r.Occurrence() >= j.occurrences && j.occurrences < j.sub.Spec().Repeat().Count() {
 			l.addOccurrence(j)
 		}
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -194,7 +194,18 @@
 
 // adoptWorkers adds the registered workers and binds adopted runs to their workers.
 func (l *Loop) adoptWorkers(page WorkerPage) {
+	incarnations := map[string]int64{}
+	for _, j := range l.workload.jobs {
+		for _, t := range j.tasks() {
+			if t.adoptedFrom != "" && t.incarnation != 0 {
+				incarnations[t.adoptedFrom] = t.incarnation
+			}
+		}
+	}
 	for _, reg := range page.entries {
+		if reg.lacksIncarnation(incarnations[reg.id]) {
+			reg = NewUnreadable(reg.id)
+		}
 		l.applyRegistration(reg, 0)
 	}
 	// Runs at workers that are no longer registered stay bound until their leases have certainly expired.
@@ -249,7 +260,8 @@
 		}
 		return
 	}
-	if reg.unreadable {
+	if reg.unreadable || (w != nil && reg.lacksIncarnation(w.registration.incarnation)) {
+		l.meter.Count("entry.unreadable")
 		if w != nil && w.deregisteredAt == 0 {
 			l.log.Record(anvilevent.WorkerDeregistered, "worker", w.id(), "draining", w.registration.draining, "tasks", len(w.tasks))
 			w.deregisteredAt = now
--- a/entry/anvilscheduler/harness_worker_test.go
+++ b/entry/anvilscheduler/harness_worker_test.go
@@ -100,9 +100,15 @@
 	fw.startedAt, fw.leaseExpiry = fw.cluster.clock.Now(), 0
 }
 
+// elsewhere is the address of a worker that none of the registry's ids names.
+const elsewhere = "elsewhere:1"
+
 // admitOrder makes the checks that precede every order, and records the fencing token.
 func (fc *fakeCluster) admitOrder(to Target, token int64) (*fakeWorker, error) {
 	fw := fc.workers[to.ID()]
+	if fw != nil && to.Addr() == elsewhere {
+		return nil, NewOrderError(FaultReplaced, 0, nil)
+	}
 	if fw != nil && fw.refusing {
 		return nil, NewOrderError(FaultRefused, 0, errDown)
 	}
--- a/entry/anvilscheduler/interfaces.go
+++ b/entry/anvilscheduler/interfaces.go
@@ -86,6 +86,12 @@
 // its id has left.
 func NewUnreadable(id string) Registration { return Registration{id: id, unreadable: true} }
 
+// lacksIncarnation reports whether the entry doesn't name the start of the worker's process, although an earlier entry did; known
+// is the start that was named, or 0. A worker names it in all its entries or in none, so another program wrote this one.
+func (r Registration) lacksIncarnation(known int64) bool {
+	return !r.removed && known != 0 && r.incarnation == 0
+}
+
 // Unreadable reports whether the entry can't be read.
 func (r Registration) Unreadable() bool { return r.unreadable }
 
