anvilcontrol, anviltable: read the registry whatever another program left in it

One entry that can not be decoded hid the registry of the own interface, so instances stopped following it: the list was decoded as one message. Each entry is now decoded by itself (TestOddInstances).

An entry with a capacity near the largest integer made instances accept jobs that no worker can run ("got an answer, want outcome not-run"), and the sum of the capacities would overflow. An entry that is out of range, has no id or pool, or control bytes in its names is now left out (TestOddRegistrations). The number of such entries is the gauge entry.unreadable, and is logged when it changes.

Open: an entry with an unknown failure domain or pool makes a shard. Jobs whose home it is wait for its worker.

--- a/entry/anvilcontrol/fake_test.go
+++ b/entry/anvilcontrol/fake_test.go
@@ -25,6 +25,8 @@
 	workers    map[string]*fakeWorker
 	nodes      map[string]*node
 	violations []string
+	// changeList, unless nil, changes what reads of the platform's registry return.
+	changeList func([]Registration) []Registration
 }
 
 // node is a loop, and the fake Backends, Table and Peers that it calls.
@@ -304,6 +306,9 @@
 			}
 		}
 		slices.SortFunc(list, func(a, b Registration) int { return strings.Compare(a.id, b.id) })
+		if n.cell.changeList != nil {
+			list = n.cell.changeList(list)
+		}
 		return NewInstancesRead(ref, list)
 	})
 }
--- a/entry/anvilcontrol/fleet.go
+++ b/entry/anvilcontrol/fleet.go
@@ -1,6 +1,11 @@
 package anvilcontrol
 
 import (
+	"errors"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilerror"
 	"anvilhold.org/lib/anvilevent"
@@ -65,7 +70,11 @@
 	l.registrations = make(map[string]Registration, len(m.registrations))
 	l.registeredByShard = map[string][]Registration{}
 	var total anvilsize.Size
+	l.noteUnreadable(m)
 	for _, reg := range m.registrations {
+		if !reg.valid() {
+			continue
+		}
 		l.registrations[reg.id] = reg
 		if reg.kind != workerKind {
 			continue
@@ -86,6 +95,35 @@
 	}
 }
 
+// valid reports whether an entry of the registry, which other programs can write, names an instance. A wrong address does no
+// harm: nothing answers there.
+func (r Registration) valid() bool {
+	for _, name := range []string{r.id, r.domain, r.region, r.pool} {
+		if !utf8.ValidString(name) || strings.ContainsFunc(name, unicode.IsControl) {
+			return false
+		}
+	}
+	return r.id != "" && (r.kind != workerKind || (r.pool != "" && r.size.InRange()))
+}
+
+// noteUnreadable counts the entries of the registry that name no instance, and logs their number when it changes.
+func (l *Loop) noteUnreadable(m InstancesRead) {
+	n := m.unreadable
+	odd := ""
+	for _, reg := range m.registrations {
+		if !reg.valid() {
+			n, odd = n+1, reg.id
+		}
+	}
+	if n != l.unreadableEntries {
+		l.log.Fault(anvilevent.RowUnreadable, errEntry, "table", "instances", "entries", n, "key", odd)
+	}
+	l.unreadableEntries = n
+	l.meter.Gauge("entry.unreadable", int64(n))
+}
+
+var errEntry = errors.New("entries of the registry name no instance")
+
 // syncWorker adds a registered worker to its shard if this instance owns it, and adds the shard to the directory if it
 // has no row in the table yet.
 func (l *Loop) syncWorker(name string, reg Registration) {
--- a/entry/anvilcontrol/loop.go
+++ b/entry/anvilcontrol/loop.go
@@ -71,6 +71,7 @@
 	health            *anvilworker.Health
 	registeredByShard map[string][]Registration // workers, by the shard that their id hashes to
 	registrations     map[string]Registration
+	unreadableEntries int // entries of the last read registry that name no instance
 	// poolKnownSince holds, by pool, when the first shard row of the pool was read.
 	poolKnownSince map[string]anvilclock.Millis
 	pools          map[string]poolSizes
--- a/entry/anvilcontrol/messages.go
+++ b/entry/anvilcontrol/messages.go
@@ -386,6 +386,7 @@
 	ref           Ref
 	err           *anvilerror.Error
 	registrations []Registration
+	unreadable    int
 }
 
 // NewInstancesRead returns the result of a successful read of the platform's registry. It keeps the slice.
@@ -393,6 +394,12 @@
 	return InstancesRead{ref: ref, registrations: list}
 }
 
+// WithUnreadable returns a copy of the result for a registry that also has n entries which can't be decoded.
+func (m InstancesRead) WithUnreadable(n int) InstancesRead {
+	m.unreadable = n
+	return m
+}
+
 // NewInstancesFailure returns the result of a read that got no answer.
 func NewInstancesFailure(ref Ref, err *anvilerror.Error) InstancesRead {
 	return InstancesRead{ref: ref, err: err}
--- a/entry/anvilhttp/client.go
+++ b/entry/anvilhttp/client.go
@@ -100,15 +100,30 @@
 	if err != nil {
 		return &Error{cause: err}
 	}
-	return c.do(ctx, http.MethodPost, url, body, out)
+	return c.do(ctx, http.MethodPost, url, body, decoder(out))
 }
 
 // Get sends a GET request and decodes the response into out as Post does. The error is always an *Error.
 func (c *Client) Get(ctx context.Context, url string, out proto.Message) error {
-	return c.do(ctx, http.MethodGet, url, nil, out)
+	return c.do(ctx, http.MethodGet, url, nil, decoder(out))
 }
 
-func (c *Client) do(ctx context.Context, method, url string, body []byte, out proto.Message) error {
+// GetWith sends a GET request and passes the body of a successful response to decode. The error is always an *Error.
+func (c *Client) GetWith(ctx context.Context, url string, decode func([]byte) error) error {
+	return c.do(ctx, http.MethodGet, url, nil, decode)
+}
+
+// decoder returns a function that decodes a body into out; nil when out is nil.
+func decoder(out proto.Message) func([]byte) error {
+	if out == nil {
+		return nil
+	}
+	return func(data []byte) error {
+		return (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(data, out)
+	}
+}
+
+func (c *Client) do(ctx context.Context, method, url string, body []byte, decode func([]byte) error) error {
 	// A server acts on a request only after it has read all headers, so a request whose headers were not written has not
 	// run. The hook is called on a goroutine of the transport.
 	var headersWritten atomic.Bool
@@ -138,10 +153,10 @@
 	if resp.StatusCode < 200 || resp.StatusCode > 299 {
 		return &Error{sent: true, status: resp.StatusCode, cause: errors.New(firstLine(data))}
 	}
-	if out == nil {
+	if decode == nil {
 		return nil
 	}
-	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(data, out); err != nil {
+	if err := decode(data); err != nil {
 		return &Error{sent: true, cause: err}
 	}
 	return nil
--- a/entry/anviltable/table.go
+++ b/entry/anviltable/table.go
@@ -120,19 +120,19 @@
 // Instances reads the platform's registry of instances and posts an InstancesRead message. It does not block.
 func (t *Table) Instances(ref anvilcontrol.Ref) {
 	go func() {
-		var out anvilwire.Instances
+		var list []anvilcontrol.Registration
+		var unreadable int
 		if err := t.withSlot(func(ctx context.Context) error {
-			return t.client.Get(ctx, t.base+"/v1/instances", &out)
+			return t.client.GetWith(ctx, t.base+"/v1/instances", func(data []byte) error {
+				var err error
+				list, unreadable, err = parseInstances(data)
+				return err
+			})
 		}); err != nil {
 			t.inbox.Post(anvilcontrol.NewInstancesFailure(ref, classifyRead(err)))
 			return
 		}
-		list := make([]anvilcontrol.Registration, 0, len(out.GetList()))
-		for _, i := range out.GetList() {
-			list = append(list, anvilcontrol.NewRegistration(i.GetId(), i.GetKind(), i.GetAddr(), i.GetDomain(), i.GetRegion(),
-				i.GetPool(), i.GetState() == anvilcodec.Leaving, anvilcodec.ParseSize(i.GetSize())))
-		}
-		t.inbox.Post(anvilcontrol.NewInstancesRead(ref, list))
+		t.inbox.Post(anvilcontrol.NewInstancesRead(ref, list).WithUnreadable(unreadable))
 	}()
 }
 
--- a/lib/anvilsize/size.go
+++ b/lib/anvilsize/size.go
@@ -128,6 +128,17 @@
 	return false
 }
 
+// InRange reports whether s can be a limit or the capacity of a machine: no amount is negative, or too large to be added up over the
+// largest fleet.
+func (s Size) InRange() bool {
+	for _, a := range s.amount {
+		if a < 0 || a > maxAmount {
+			return false
+		}
+	}
+	return true
+}
+
 // Dominant returns the largest fraction of total that s takes in any dimension, in parts per million. It skips
 // the dimensions in which total is 0.
 func (s Size) Dominant(total Size) int64 {
