anvilscheduler: release the leadership and check absences in all takeovers

The simulation also shuts leaders down, takes the store away while long-running tasks have lost their workers, and checks for how long they are away where workers are cut off.

--- a/entry/anvilscheduler/simulation_loop_test.go
+++ b/entry/anvilscheduler/simulation_loop_test.go
@@ -307,6 +307,8 @@
 		l.playClean(m, slices.Clone(l.txs))
 	case leaderStateRead:
 		l.playLoad(m)
+	case releaseDone:
+		l.commit(l.txs[len(l.txs)-1], l.name+"release", func(anvilstorage.Receipt, error) { l.receive(m) })
 	case outageConfirmed:
 		s.after(s.delay(1, int64(peerQueryTimeout), l.name, "confirmed"), l.name+"confirmed", func() { l.receive(m) })
 	default:
--- a/entry/anvilscheduler/takeoverloss_test.go
+++ b/entry/anvilscheduler/takeoverloss_test.go
@@ -30,6 +30,7 @@
 	harmPause      = "pause"
 	harmCut        = "cut"
 	harmKillTwice  = "kill twice"
+	harmShutdown   = "shutdown"
 	harmPauseKill  = "pause, next killed"
 	harmCutKill    = "cut, next killed"
 	harmOutage     = "outage"
@@ -279,6 +280,9 @@
 		switch kind {
 		case harmKill, harmKillTwice:
 			sc.kill(l)
+		case harmShutdown:
+			sc.disruption(2000)
+			sc.shutDown(l, sc.now()+2000)
 		case harmPause, harmPauseKill:
 			l.pausedUntil = l.stallUntil
 			sc.disruption(l.stallUntil - sc.now())
@@ -310,6 +314,19 @@
 	})
 }
 
+// shutDown lets an instance release the leadership, and kills it at a time.
+func (sc *takeoverScenario) shutDown(l *simLoop, killAt anvilclock.Millis) {
+	switch {
+	case sc.now() >= killAt:
+		sc.kill(l)
+		return
+	case !l.loop.state.shuttingDown && l.loop.commits.inflight == nil:
+		// The release waits for a commit in flight, which the simulation plays later.
+		shutdown{done: make(chan struct{})}.deliver(l.loop)
+	}
+	sc.after(20, l.name, func() { sc.shutDown(l, killAt) })
+}
+
 // killNext kills the leader that follows another one.
 func (sc *takeoverScenario) killNext(former *simLoop) {
 	d := anvilclock.Millis(1500 + sc.rng.IntN(2500))
@@ -341,6 +358,9 @@
 // report reports the violations of a scenario.
 func (ta *tally) report(t *testing.T, sc *takeoverScenario) {
 	t.Helper()
+	for _, id := range sc.tasks {
+		sc.checkLost(id)
+	}
 	harm := sc.harms[0]
 	ta.seeds[harm]++
 	ta.starts += sc.starts
@@ -373,27 +393,26 @@
 	for seed := first; seed < first+count; seed++ {
 		sc := newTakeoverScenario(t, seed)
 		sc.reportLost = true
-		sc.round([]string{lossDeath}, []string{harmNone, harmKill, harmPause, harmCut, harmKillTwice})
-		for _, id := range sc.tasks {
-			sc.checkLost(id)
-		}
+		sc.round([]string{lossDeath}, []string{
+			harmNone, harmKill, harmShutdown, harmPause, harmCut, harmKillTwice, harmPauseKill, harmCutKill, harmOutage, harmOutageKill, harmOutageCut,
+		})
 		ta.report(t, sc)
 	}
 	ta.log(t)
 }
 
 // Guards against a second run of a long-running task whose worker is cut off near a change of the leader, and works on until its
-// leases expire.
+// leases expire, and against a task that stays away for too long then.
 func TestNoTaskRunsTwiceBesideTakeovers(t *testing.T) {
 	first, count := numberFrom(t, seedVariable, 1), numberFrom(t, countVariable, 10)
 	ta := newTally()
 	for seed := first; seed < first+count; seed++ {
 		sc := newTakeoverScenario(t, seed)
-		sc.varied = true
+		sc.varied, sc.reportLost = true, true
 		for range 1 + sc.rng.IntN(2) {
 			sc.disturbCommits()
 			sc.round([]string{lossDeath, lossCut, lossFormer, lossFormer, lossFormer, lossOneWay, lossOneWayTo, lossAgain},
-				[]string{harmNone, harmKill, harmPause, harmCut, harmCut, harmKillTwice, harmPauseKill, harmCutKill, harmCutKill, harmOutage, harmOutageKill,
+				[]string{harmNone, harmKill, harmShutdown, harmPause, harmCut, harmCut, harmKillTwice, harmPauseKill, harmCutKill, harmCutKill, harmOutage, harmOutageKill,
 					harmOutageCut, harmOutageCut})
 		}
 		ta.report(t, sc)
