--- a/entry/anvilscheduler/review_test.go
+++ b/entry/anvilscheduler/review_test.go
@@ -321,3 +321,16 @@
 		t.Fatalf("the task runs again %d ms after the loss, no lease lasts longer than %d ms", now-lost, longest-lost)
 	}
 }
+
+// Guards against an outage that ends all work because it begins just after the leader has raised its token: the witnesses know the
+// one before.
+func TestOutageAfterRaisedToken(t *testing.T) {
+	fc, leader, witness, _ := startedWithWitness(t)
+	before := leader.loop.leadership.fence
+	fc.restartWorker("w2")
+	fc.advance(100, leader)
+	assertEqual(t, "the token is raised", leader.loop.leadership.fence > before, true)
+	fc.outage(longOutage, leader, witness)
+	assertRunning(t, fc, "j1.0.0.0")
+	assertEqual(t, "worker of the task", fc.workerOf("j1.0.0.0").id, "w1")
+}
