--- a/entry/anvilscheduler/adopt.go
+++ b/entry/anvilscheduler/adopt.go
@@ -196,7 +196,7 @@
 	// received a start that was meant for the earlier incarnation. Its first report shows which runs it has.
 	if t.incarnation != 0 && t.incarnation != w.registration.incarnation {
 		// The former leader may have named the end of a lease on the clock of the earlier incarnation.
-		w.recordRestart(l.clock.Now())
+		w.recordRestart(l.extendedUntil(l.clock.Now()))
 	}
 	t.incarnation = w.registration.incarnation
 	t.worker, t.startedAt = w, l.clock.Now()
--- a/entry/anvilscheduler/bound.go
+++ b/entry/anvilscheduler/bound.go
@@ -78,8 +78,12 @@
 			bounds.removing[id] = true
 			continue
 		}
+		unanswered := w.unansweredExpiry()
+		if unanswered != 0 {
+			unanswered = l.storeTime.latestAt(unanswered)
+		}
 		row, err := anvilstorage.LeaseRow(anvilstorage.NewLeaseBound(id, w.registration.incarnation, l.leadership.token,
-			l.storeTime.latestAt(w.leaseExpiry)))
+			l.storeTime.latestAt(w.leaseExpiry), unanswered))
 		if err != nil {
 			return err
 		}
@@ -115,7 +119,24 @@
 		if w == nil || since == 0 || bound.Token() < since || bound.Incarnation() != w.registration.incarnation {
 			continue
 		}
-		w.leaseExpiry = max(min(w.leaseExpiry, l.storeTime.passedBy(bound.Until())), w.formerClockExpiry)
+		w.leaseExpiry = l.storeTime.passedBy(bound.Until())
+		w.formerClockExpiry = min(w.formerClockExpiry, w.leaseExpiry)
 		l.fleet.bounds.stored[r.Key()] = w.leaseExpiry
+		for t := range w.tasks {
+			t.lastStart = 0
+			if bound.Unanswered() != 0 {
+				t.lastStart = l.storeTime.passedBy(bound.Unanswered()) - l.leaseExpiryAfter(l.limits.maxLease)
+			}
+		}
+	}
+}
+
+// unansweredExpiry returns the local time until which runs of the worker may last whose start got no answer; 0 when there are
+// none.
+func (w *worker) unansweredExpiry() anvilclock.Millis {
+	latest := anvilclock.Millis(0)
+	for t := range w.tasks {
+		latest = max(latest, t.unansweredExpiry())
 	}
+	return latest
 }
--- a/entry/anvilscheduler/commits.go
+++ b/entry/anvilscheduler/commits.go
@@ -112,8 +112,10 @@
 		done: make(chan struct{})}
 	b.tx.Expect(anvilstorage.Leaderships, anvilstorage.LeadershipKey, ls.rowVersion)
 	b.fence = l.nextFence()
-	m, clock, e := anvilstorage.NewLeadership(l.self.Name(), l.self.Addr(), b.fence, b.renewals), l.storeTime, ls.extension
-	b.extendsUntil = now + extensionValidity
+	m := anvilstorage.NewLeadership(l.self.Name(), l.self.Addr(), b.fence, b.renewals).WithFirst(ls.token)
+	clock, e := l.storeTime, ls.extension
+	// The witnesses that have confirmed extensions may not be those that the commit stores.
+	b.extendsUntil = max(now+extensionValidity, e.confirmedUntil)
 	b.row = func(until anvilclock.Millis) (anvilstorage.Row, error) { return extensionRow(m, clock, until, e) }
 	row, err := b.row(b.extendsUntil)
 	if err != nil {
@@ -173,7 +175,7 @@
 				return
 			}
 			// A row with the time of the first attempt would allow the extension of no lease when it is applied.
-			until = clock.Now() + extensionValidity
+			until = max(until, clock.Now()+extensionValidity)
 			if row, err := b.row(until); err == nil {
 				tx = b.tx.Replace(row)
 			}
@@ -208,6 +210,7 @@
 	q.renewals, q.storedSeq = m.batch.renewals, m.batch.seq
 	l.leadership.rowVersion, l.leadership.lastRenewed = rowVersion, m.batch.sent
 	l.leadership.extension.until = m.batch.extendsUntil
+	l.renewedAt.Store(int64(m.batch.sent))
 	if m.err == nil {
 		l.storeTime.observe(m.batch.sent, l.clock.Now(), m.now)
 	}
--- a/entry/anvilscheduler/connectivity.go
+++ b/entry/anvilscheduler/connectivity.go
@@ -157,9 +157,9 @@
 		if l.isLeader.Load() {
 			threshold = leaderSuspectAfter
 		}
+		l.confirmOutage(ctx)
 		if age >= threshold && listReads > 0 {
 			l.postPartition(l.askPeers(ctx, peers))
-			l.confirmOutage(ctx)
 			continue
 		}
 		l.postPartition(partitionChecked{})
--- a/entry/anvilscheduler/extension.go
+++ b/entry/anvilscheduler/extension.go
@@ -33,7 +33,9 @@
 // mayExtendLeases reports whether the leader may extend leases now.
 func (l *Loop) mayExtendLeases(now anvilclock.Millis) bool {
 	e := &l.leadership.extension
-	return l.mayOrder(now) && (now < e.until || now < e.confirmedUntil)
+	// A successor that is no witness reckons with the grace from the stored row.
+	grace := e.until - extensionValidity + leaseGrace
+	return l.mayOrder(now) && (now < e.until || now < min(e.confirmedUntil, grace))
 }
 
 // extendedUntil returns the local time after which no leader before this one, nor this one before now, has extended leases.
@@ -47,7 +49,7 @@
 // leadershipRow returns a leadership row that allows extensions until a local time.
 func (l *Loop) leadershipRow(leader, addr string, count int64, until anvilclock.Millis) (anvilstorage.Row, error) {
 	ls := &l.leadership
-	return extensionRow(anvilstorage.NewLeadership(leader, addr, ls.fence, count), l.storeTime, until, ls.extension)
+	return extensionRow(anvilstorage.NewLeadership(leader, addr, ls.fence, count).WithFirst(ls.token), l.storeTime, until, ls.extension)
 }
 
 func extensionRow(m anvilstorage.Leadership, c storeClock, until anvilclock.Millis, e extension) (anvilstorage.Row, error) {
@@ -70,8 +72,8 @@
 }
 
 // inherit returns what a leader that claims at a local time knows of the extensions of former leaders. The witnesses are
-// those that are stored; err means that they could not be read.
-func (c *claim) inherit(now anvilclock.Millis, w anvilstorage.Witnesses, err error) extension {
+// those that are stored.
+func (c *claim) inherit(now anvilclock.Millis, w anvilstorage.Witnesses) extension {
 	e := extension{formerEnd: now, boundedSince: c.former.BoundedSince(), formerBoundedSince: c.former.BoundedSince()}
 	if e.boundedSince == 0 {
 		e.boundedSince = c.next.Token()
@@ -87,8 +89,11 @@
 			e.formerUntil = c.clock.latestAt(e.formerEnd)
 		}
 		return e
-	case c.former.Leader() != "" && (err != nil || (w.Token() == c.former.Token() && !slices.Contains(w.Addrs(), c.addr))):
-		// Others may have confirmed extensions.
+	case c.former.Addr() == c.addr:
+		// The former leader was this process, which has stepped down, or an earlier one, which has exited.
+		e.formerUntil = max(until, c.clock.latestAt(now))
+	case c.former.Leader() != "" && w.Token() != 0 && !slices.Contains(w.Addrs(), c.addr):
+		// Others may have confirmed extensions, also by a leader before the former one if that has stored no witnesses.
 		e.formerUntil = until - extensionValidity + leaseGrace
 	default:
 		e.formerUntil = max(until, c.clock.latestAt(c.confirmedUntil))
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -56,6 +56,9 @@
 	// formerClockExpiry is the local time until which leases may last whose end an order has named on the clock of a former
 	// incarnation; 0 when there is none.
 	formerClockExpiry anvilclock.Millis
+	// formerIncarnation is the one before this one until formerClockExpiry, or 0. Records name it instead of this one: a successor
+	// then reckons with the longest lease, too.
+	formerIncarnation int64
 	// lastExtended is when the last order that extends leases was sent.
 	lastExtended anvilclock.Millis
 	// The worker numbers the ends of runs and reports each until it is acknowledged. processed is the last end that the
@@ -399,6 +402,9 @@
 			l.retire(w, "unlisted")
 			continue
 		}
+		if w.formerIncarnation != 0 && now >= w.formerClockExpiry && w.minFence == 0 {
+			l.forgetRestart(w)
+		}
 		l.holdIfDue(w, now)
 		l.moveOffDraining(w, now)
 	}
@@ -455,8 +461,12 @@
 		if mayExtend {
 			o.until = w.leaseUntil(now)
 		}
-		if w.processed <= w.acked && !w.leasesBounded() {
+		switch {
+		case w.processed > w.acked || w.leasesBounded():
+		case mayExtend:
 			o.wait = maxHoldWait
+		default:
+			o.wait = unextendedHoldWait
 		}
 	}
 	l.sendHold(w, o, now)
@@ -653,6 +663,8 @@
 		return
 	}
 	l.proxies.add(in, r.Version())
+	l.publishPeers()
+	l.addWitness(in)
 }
 
 func (m instancesRead) deliver(l *Loop) {
--- a/entry/anvilscheduler/leadership.go
+++ b/entry/anvilscheduler/leadership.go
@@ -103,7 +103,7 @@
 			l.log.Fault(anvilevent.RowUnreadable, err, "table", string(anvilstorage.Leaderships))
 		}
 	}
-	l.witness.observe(current.Token())
+	l.witness.observe(current.First())
 	if m.row.Version() != ls.claimedVersion {
 		l.witness.dropClaim()
 	}
@@ -185,13 +185,19 @@
 		"unchanged", int64(l.clock.Now()-ls.unchangedSince))
 	ctx := l.ctx
 	l.spawn(func() {
+		m := claimAnswered{leadership: next}
 		witnesses, err := readWitnesses(ctx, l.store)
-		m := claimAnswered{leadership: next, since: l.clock.Now()}
-		m.extension = c.inherit(m.since, witnesses, err)
+		if err != nil {
+			m.err = anvilstorage.NewError(anvilstorage.Refused, err)
+			l.post(m)
+			return
+		}
+		m.since = l.clock.Now()
+		m.extension = c.inherit(m.since, witnesses)
 		m.extension.until = m.since + extensionValidity
 		row, err := extensionRow(next, c.clock, m.extension.until, m.extension)
 		if err != nil {
-			m.err = err
+			m.err = anvilstorage.NewError(anvilstorage.Refused, err)
 			l.post(m)
 			return
 		}
@@ -209,7 +215,13 @@
 		// renews, and the leadership becomes vacant again.
 		l.log.Record(anvilevent.LeadershipDenied, "token", m.leadership.Token(), "reason", m.err.Error())
 		ls.lastRead = 0
-		if anvilstorage.As(m.err).Kind() == anvilstorage.Conflict {
+		if e := anvilstorage.As(m.err); e.Kind() != anvilstorage.Unknown {
+			// An earlier claim of this instance may have been applied late.
+			if row := e.Row(anvilstorage.Leaderships, anvilstorage.LeadershipKey); row.Version() != 0 {
+				if current, err := anvilstorage.ParseLeadership(row); err == nil {
+					l.witness.observe(current.First())
+				}
+			}
 			l.witness.dropClaim()
 		}
 		l.fireLeadership("denied")
@@ -274,6 +286,7 @@
 	l.leadership.leadingSince = now
 	l.isLeader.Store(true)
 	l.leaderToken.Store(l.leadership.token)
+	l.renewedAt.Store(int64(l.leadership.lastRenewed))
 	l.publish()
 	l.workload.passRequested = true
 	for _, w := range l.fleet.byID {
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -78,6 +78,8 @@
 	// isLeader reports to traffic goroutines whether this instance is the leader, and leaderToken its token, or 0.
 	isLeader    atomic.Bool
 	leaderToken atomic.Int64
+	// renewedAt is when the last applied commit of the leader was sent, in milliseconds of the loop's clock.
+	renewedAt atomic.Int64
 	// pollInterval is the pause between two reads of the leadership row, in milliseconds.
 	pollInterval atomic.Int64
 	// peerCount is the number of other instances; peersKnown is closed once it is known.
--- a/entry/anvilscheduler/outage.go
+++ b/entry/anvilscheduler/outage.go
@@ -97,17 +97,16 @@
 	}
 	addrs := slices.Concat(e.stored, e.sending)
 	slices.Sort(addrs)
-	l.witnessRequest.Store(&witnessRequest{token: l.leadership.fence, addrs: slices.Compact(addrs), until: e.confirmedUntil})
+	l.witnessRequest.Store(&witnessRequest{token: l.leadership.token, addrs: slices.Compact(addrs), until: e.confirmedUntil})
 }
 
 // addWitnesses adds the witnesses to a commit if they have changed.
 func (l *Loop) addWitnesses(b *batch) error {
 	e := &l.leadership.extension
-	unchanged := e.stored != nil && slices.Equal(e.found, e.stored) && b.fence == l.leadership.fence
-	if !l.leading() || e.found == nil || unchanged {
+	if !l.leading() || e.found == nil || (e.stored != nil && slices.Equal(e.found, e.stored)) {
 		return nil
 	}
-	row, err := anvilstorage.WitnessRow(anvilstorage.NewWitnesses(b.fence, e.found))
+	row, err := anvilstorage.WitnessRow(anvilstorage.NewWitnesses(l.leadership.token, e.found))
 	if err != nil {
 		return err
 	}
@@ -117,6 +116,25 @@
 	return nil
 }
 
+// addWitness makes an instance that has joined a witness before it has been asked, so that it is one when it claims the leadership.
+func (l *Loop) addWitness(in anvilstorage.Instance) {
+	e := &l.leadership.extension
+	if e.found != nil && in.Addr() != l.self.Addr() && !slices.Contains(e.found, in.Addr()) {
+		e.found = slices.Sorted(slices.Values(append(slices.Clone(e.found), in.Addr())))
+	}
+}
+
+// publishPeers publishes the addresses of the other instances, which the leader knows from the store's feed.
+func (l *Loop) publishPeers() {
+	addrs := []string{}
+	for _, p := range l.proxies.byName {
+		if !p.self {
+			addrs = append(addrs, p.instance.Addr())
+		}
+	}
+	l.peerAddrs.Store(&addrs)
+}
+
 // witnessesFound holds the addresses of the other instances that answer, in order.
 type witnessesFound struct {
 	token int64
@@ -186,11 +204,12 @@
 	wg.Wait()
 }
 
-// confirmOutage asks the witnesses of the leader for a confirmation, if the last one ends soon.
+// confirmOutage asks the witnesses of the leader for a confirmation, if it hasn't renewed the leadership for leaderSuspectAfter and
+// the last confirmation ends soon. Reads may still be answered when commits aren't.
 func (l *Loop) confirmOutage(ctx context.Context) {
 	r := l.witnessRequest.Load()
 	sent := l.clock.Now()
-	if l.witnesses == nil || r == nil || r.until-sent > confirmAhead {
+	if l.witnesses == nil || r == nil || r.until-sent > confirmAhead || sent-anvilclock.Millis(l.renewedAt.Load()) < leaderSuspectAfter {
 		return
 	}
 	confirmed := make([]bool, len(r.addrs))
--- a/entry/anvilscheduler/record.go
+++ b/entry/anvilscheduler/record.go
@@ -94,7 +94,11 @@
 		failures, failed = t.stage.failures, t.stage.lastFailedRun
 	}
 	run := anvilstorage.NewRun(t.stage.occurrence, t.stage.index, t.id.Index(), phase, t.run)
-	return run.WithFailures(failures, failed).WithWorker(worker, t.incarnation).WithCheckpoint(t.checkpoint)
+	incarnation := t.incarnation
+	if t.worker != nil && t.worker.formerIncarnation != 0 {
+		incarnation = t.worker.formerIncarnation
+	}
+	return run.WithFailures(failures, failed).WithWorker(worker, incarnation).WithCheckpoint(t.checkpoint)
 }
 
 // markRunChanged queues the stored form of a task for the next commit.
--- a/entry/anvilscheduler/restart.go
+++ b/entry/anvilscheduler/restart.go
@@ -38,6 +38,14 @@
 	w.leaseExpiry = max(w.leaseExpiry, w.formerClockExpiry)
 }
 
+// forgetRestart ends the time in which leases may be longer because of a restart, so that the records name the present incarnation.
+func (l *Loop) forgetRestart(w *worker) {
+	w.formerClockExpiry, w.formerIncarnation = 0, 0
+	for _, t := range w.boundTasks() {
+		l.markRunChanged(t)
+	}
+}
+
 // replaceIncarnation replaces an incarnation of a worker by a newer one under the same id. The newer one knows none of
 // the earlier runs, but may have received a start that was meant for the earlier incarnation. So the runs stay bound
 // until the newer incarnation has reported what runs there.
@@ -48,6 +56,7 @@
 	}
 	l.endIncarnation(w, "restarted", len(tasks))
 	next := l.addWorker(reg)
+	next.formerIncarnation = w.registration.incarnation
 	next.recordRestart(l.clock.Now())
 	l.requireFence(next)
 	for _, t := range tasks {
--- a/entry/anvilstorage/leadership.go
+++ b/entry/anvilstorage/leadership.go
@@ -21,6 +21,7 @@
 	// extendsUntil and boundedSince are zero in a row of a program that doesn't store them.
 	extendsUntil anvilclock.Millis
 	boundedSince int64
+	first        int64
 }
 
 // NewLeadership returns a leadership; an empty leader means that the last leader has released it.
@@ -48,6 +49,20 @@
 	return l
 }
 
+// WithFirst returns a copy for a leadership whose first token was lower than the present one.
+func (l Leadership) WithFirst(token int64) Leadership {
+	l.first = token
+	return l
+}
+
+// First returns the token with which the leadership began. The leader raises it for workers that restart.
+func (l Leadership) First() int64 {
+	if l.first == 0 {
+		return l.token
+	}
+	return l.first
+}
+
 // ExtendsUntil returns the time of the store's clock after which neither this leader nor an earlier one sends an order that
 // extends leases, except by confirmation of all of the leader's witnesses. It is 0 when no bound is stored.
 func (l Leadership) ExtendsUntil() anvilclock.Millis { return l.extendsUntil }
@@ -63,12 +78,13 @@
 	Count  int64  `json:"count"`
 	Until  int64  `json:"until,omitempty"`
 	Since  int64  `json:"since,omitempty"`
+	First  int64  `json:"first,omitempty"`
 }
 
 // LeadershipRow returns the row that stores a leadership.
 func LeadershipRow(l Leadership) (Row, error) {
 	value, err := json.Marshal(leadershipRow{
-		Leader: l.leader, Addr: l.addr, Token: l.token, Count: l.count, Until: int64(l.extendsUntil), Since: l.boundedSince,
+		Leader: l.leader, Addr: l.addr, Token: l.token, Count: l.count, Until: int64(l.extendsUntil), Since: l.boundedSince, First: l.first,
 	})
 	if err != nil {
 		return Row{}, fmt.Errorf("leadership: %w", err)
@@ -83,7 +99,7 @@
 		return Leadership{}, fmt.Errorf("leadership: %w", err)
 	}
 	out := NewLeadership(in.Leader, in.Addr, in.Token, in.Count)
-	return out.WithExtension(anvilclock.Millis(in.Until), in.Since), nil
+	return out.WithExtension(anvilclock.Millis(in.Until), in.Since).WithFirst(in.First), nil
 }
 
 // Instance is an entry instance as it registers in the store for the others.
--- a/entry/anvilstorage/lease.go
+++ b/entry/anvilstorage/lease.go
@@ -13,12 +13,14 @@
 	incarnation int64
 	token       int64
 	until       anvilclock.Millis
+	unanswered  anvilclock.Millis
 }
 
 // NewLeaseBound returns the bound of an incarnation of a worker: all leases have expired at the time until of the store's
-// clock. The token is that of the leader that stores it.
-func NewLeaseBound(worker string, incarnation, token int64, until anvilclock.Millis) LeaseBound {
-	return LeaseBound{worker: worker, incarnation: incarnation, token: token, until: until}
+// clock. Runs whose start got no answer may last until the time unanswered, if the worker has restarted; 0 when there are none.
+// The token is that of the leader that stores it.
+func NewLeaseBound(worker string, incarnation, token int64, until, unanswered anvilclock.Millis) LeaseBound {
+	return LeaseBound{worker: worker, incarnation: incarnation, token: token, until: until, unanswered: unanswered}
 }
 
 // Worker returns the worker's id, which is the key of the row.
@@ -33,15 +35,19 @@
 // Until returns the time of the store's clock at which all leases have expired.
 func (b LeaseBound) Until() anvilclock.Millis { return b.until }
 
+// Unanswered returns the time of the store's clock until which runs whose start got no answer may last; 0 when there are none.
+func (b LeaseBound) Unanswered() anvilclock.Millis { return b.unanswered }
+
 type leaseRow struct {
 	Life  int64 `json:"life"`
 	Token int64 `json:"token"`
 	Until int64 `json:"until"`
+	Start int64 `json:"start,omitempty"`
 }
 
 // LeaseRow returns the row that stores a bound.
 func LeaseRow(b LeaseBound) (Row, error) {
-	value, err := json.Marshal(leaseRow{Life: b.incarnation, Token: b.token, Until: int64(b.until)})
+	value, err := json.Marshal(leaseRow{Life: b.incarnation, Token: b.token, Until: int64(b.until), Start: int64(b.unanswered)})
 	if err != nil {
 		return Row{}, fmt.Errorf("lease bound of worker %s: %w", b.worker, err)
 	}
@@ -54,7 +60,7 @@
 	if err := json.Unmarshal(r.value, &in); err != nil {
 		return LeaseBound{}, fmt.Errorf("lease bound of worker %s: %w", r.key, err)
 	}
-	return NewLeaseBound(r.key, in.Life, in.Token, anvilclock.Millis(in.Until)), nil
+	return NewLeaseBound(r.key, in.Life, in.Token, anvilclock.Millis(in.Until), anvilclock.Millis(in.Start)), nil
 }
 
 // WitnessKey is the key of the only row of the witnesses table.
