--- a/entry/anvilscheduler/extension_test.go
+++ b/entry/anvilscheduler/extension_test.go
@@ -341,7 +341,7 @@
 	fc.restartWorker("w2")
 	fc.advance(100, leader)
 	assertEqual(t, "the token is raised", leader.loop.leadership.fence > before, true)
-	fc.outage(longOutage, leader, witness)
+	fc.longOutage(leader, witness)
 	assertRunning(t, fc, "j1.0.0.0")
 	assertEqual(t, "worker of the task", fc.workerOf("j1.0.0.0").id, "w1")
 }
--- a/entry/anvilscheduler/outage_test.go
+++ b/entry/anvilscheduler/outage_test.go
@@ -24,11 +24,11 @@
 	return fc, leader, witness, witnesses
 }
 
-// outage makes the store unreachable for d, while the leader asks for confirmations.
-func (fc *fakeCluster) outage(d anvilclock.Millis, leader *harness, others ...*harness) {
+// longOutage makes the store unreachable for longer than leases last without a confirmation, while the leader asks for some.
+func (fc *fakeCluster) longOutage(leader *harness, others ...*harness) {
 	resume := leader.hangCommits()
 	fc.store.down = true
-	for end := fc.clock.Now() + d; fc.clock.Now() < end; {
+	for end := fc.clock.Now() + 7000; fc.clock.Now() < end; {
 		leader.loop.confirmOutage(context.Background())
 		fc.advance(200, append([]*harness{leader}, others...)...)
 	}
@@ -36,14 +36,11 @@
 	resume()
 }
 
-// longOutage is longer than leases last without a confirmation.
-const longOutage = anvilclock.Millis(7000)
-
 func TestOutageOfStore(t *testing.T) {
 	t.Run("leases are extended while all witnesses confirm it", func(t *testing.T) {
 		// Guards against work that an outage of the store ends.
 		fc, leader, witness, _ := startedWithWitness(t)
-		fc.outage(longOutage, leader, witness)
+		fc.longOutage(leader, witness)
 		assertRunning(t, fc, "j1.0.0.0")
 		assertEqual(t, "worker of the task", fc.workerOf("j1.0.0.0").id, "w1")
 	})
@@ -51,13 +48,13 @@
 		// Guards against a leader that extends leases although an instance that doesn't know it may lead.
 		fc, leader, witness, witnesses := startedWithWitness(t)
 		delete(witnesses, "e2:1")
-		fc.outage(longOutage, leader, witness)
+		fc.longOutage(leader, witness)
 		assertRunning(t, fc)
 	})
 	t.Run("a witness that becomes leader waits for the leases that it has confirmed", func(t *testing.T) {
 		// Guards against a second run of a task whose lease was extended during an outage. The cluster fails the test.
 		fc, leader, witness, _ := startedWithWitness(t)
-		fc.outage(longOutage, leader)
+		fc.longOutage(leader)
 		leader.hangCommits()
 		witness.loop.workers = cutWorkers{fakeCluster: fc, cut: "w1"}
 		for range 100 {
