anvilcontrol: wait for the reply of a call whose end is listed

Callers got the outcome "unknown" for a call that had ended. When a fence listed the end of a call before the reply to its start arrived, the loop kept the end for that reply, and then took the run for lost in the same step, because it was no longer among the worker's tasks.

Evidence: promise08_kill failed once in two runs of all tests, at a load average of 35 to 40: the worker had ended the call at 05:08:00.976, its owner logged event 3104 with "lost" at 05:08:00.990. TestEndListedBeforeReply shows the order of events and failed with "unknown (lost)". That this order was the one in that run is likely: fences are not logged.

Fix: a run whose end is listed is ended by the reply to its start, or by the failure of that request.

--- a/entry/anvilcontrol/control_test.go
+++ b/entry/anvilcontrol/control_test.go
@@ -451,3 +451,24 @@
 		}
 	}
 }
+
+// Guards against an unknown outcome for a call whose end a fence lists before the reply to its start arrives.
+func TestEndListedBeforeReply(t *testing.T) {
+	c, first, _ := startCell(t)
+	reply := c.submit(first, c.call(anviltask.WithRunTime(2500)))
+	c.runWithReplies(1500)
+	var release func()
+	for _, w := range c.workers {
+		for _, f := range w.tasks {
+			deliver := f.reply
+			f.reply = func(m Message) { release = func() { deliver(m) } }
+		}
+	}
+	c.runWithReplies(4000)
+	if release == nil {
+		t.Fatal("the call has not ended")
+	}
+	release()
+	c.runWithReplies(100)
+	assertAnswer(t, reply)
+}
--- a/entry/anvilcontrol/fleet.go
+++ b/entry/anvilcontrol/fleet.go
@@ -314,7 +314,7 @@
 		}
 	}
 	for _, r := range w.runList() {
-		if !reported[r.id] && r.confirmed && r.confirmedAt < sent {
+		if !reported[r.id] && r.reportedEnd == nil && r.confirmed && r.confirmedAt < sent {
 			l.fireRun(r, "gone")
 		}
 	}
