anvilscheduler: instances that are no witnesses leave the first claim to those that are

Cause: an instance that had just started claimed first, and has to wait for the whole grace; and a leader that claimed again after one that had stored no witnesses wasn't in its own list.

Change: an instance that isn't a stored witness lets its first claim of a row go, so that a witness claims before it; a leader's list has its own address.

--- a/entry/anvilscheduler/extension.go
+++ b/entry/anvilscheduler/extension.go
@@ -67,10 +67,18 @@
 	next   anvilstorage.Leadership
 	addr   string
 	clock  storeClock
+	// deferred means that this instance has let others claim first.
+	deferred bool
 	// confirmedUntil is the local time until which this instance has confirmed extensions by the former leader.
 	confirmedUntil anvilclock.Millis
 }
 
+// isNoWitness reports whether extensions may have been confirmed to the former leader without this instance, also to a leader before
+// it if the former one has stored no witnesses.
+func (c *claim) isNoWitness(w anvilstorage.Witnesses) bool {
+	return !c.vacant && c.former.Leader() != "" && c.former.Addr() != c.addr && w.Token() != 0 && !slices.Contains(w.Addrs(), c.addr)
+}
+
 // inherit returns what a leader that claims at a local time knows of the extensions of former leaders. The witnesses are
 // those that are stored.
 func (c *claim) inherit(now anvilclock.Millis, w anvilstorage.Witnesses) extension {
@@ -92,8 +100,7 @@
 	case c.former.Addr() == c.addr:
 		// The former leader was this process, which has stepped down, or an earlier one, which has exited.
 		e.formerUntil = max(until, c.clock.latestAt(now))
-	case c.former.Leader() != "" && w.Token() != 0 && !slices.Contains(w.Addrs(), c.addr):
-		// Others may have confirmed extensions, also by a leader before the former one if that has stored no witnesses.
+	case c.isNoWitness(w):
 		e.formerUntil = until - extensionValidity + leaseGrace
 	default:
 		e.formerUntil = max(until, c.clock.latestAt(c.confirmedUntil))
--- a/entry/anvilscheduler/extension_test.go
+++ b/entry/anvilscheduler/extension_test.go
@@ -212,6 +212,25 @@
 		lost := fc.loseWorker()
 		assertBackBy(t, fc, lost+awayAfterLoss, joined, witness)
 	})
+	t.Run("a witness, beside an instance that is none", func(t *testing.T) {
+		// Guards against an instance that has to wait for the whole grace and claims before one that needn't.
+		fc, leader, witness, _ := startedWithWitness(t)
+		other := fc.newHarness("e3")
+		fc.advanceWorking(1000, leader, other, witness)
+		leader.paused = true
+		lost := fc.loseWorker()
+		assertBackBy(t, fc, lost+awayAfterLoss, other, witness)
+	})
+	t.Run("the same instance again, after one that stored no witnesses", func(t *testing.T) {
+		fc, leader, witness, _ := startedWithWitness(t)
+		fc.advanceWorking(1000, leader, witness)
+		leader.loop.stepDownPartitioned(nil)
+		fc.advance(takeoverTime, witness)
+		assertEqual(t, "the witness leads", witness.loop.leading(), true)
+		witness.paused = true
+		lost := fc.loseWorker()
+		assertBackBy(t, fc, lost+awayAfterLoss, leader)
+	})
 	t.Run("the same instance that stepped down", func(t *testing.T) {
 		fc, leader, _, _ := startedWithWitness(t)
 		lost := fc.loseWorker()
--- a/entry/anvilscheduler/leadership.go
+++ b/entry/anvilscheduler/leadership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -37,6 +38,9 @@
 	requiredFence int64
 	// claimedVersion is the version of the row that the last claim replaces.
 	claimedVersion int64
+	// deferredVersion is the version of the row whose replacement this instance has left to the witnesses once: they needn't wait for
+	// the whole grace.
+	deferredVersion int64
 	// claimedAt is when the claim that was granted last was sent.
 	claimedAt anvilclock.Millis
 	// lastRenewed is when the last applied commit was sent.
@@ -172,12 +176,17 @@
 	return min(max(pollInterval*anvilclock.Millis(peers)/pollPeers, pollInterval), maxPollInterval)
 }
 
+var errDeferred = errors.New("the witnesses of the former leader may claim first")
+
 // claimLeadership writes the leadership row with the next fencing token. The commit fails when the row has changed
 // meanwhile.
 func (l *Loop) claimLeadership() {
 	ls := &l.leadership
 	next := anvilstorage.NewLeadership(l.self.Name(), l.self.Addr(), ls.current.Token()+1, 0)
-	c := claim{former: ls.current, vacant: ls.rowVersion == 0, next: next, addr: l.self.Addr(), clock: l.storeTime}
+	c := claim{
+		former: ls.current, vacant: ls.rowVersion == 0, next: next, addr: l.self.Addr(), clock: l.storeTime,
+		deferred: ls.deferredVersion == ls.rowVersion,
+	}
 	c.confirmedUntil, ls.claimedVersion = l.witness.claim(next.Token()), ls.rowVersion
 	tx := anvilstorage.NewTx(anvilstorage.FleetPartition)
 	tx.Expect(anvilstorage.Leaderships, anvilstorage.LeadershipKey, ls.rowVersion)
@@ -192,6 +201,11 @@
 			l.post(m)
 			return
 		}
+		if m.deferred = c.isNoWitness(witnesses) && !c.deferred; m.deferred {
+			m.err = anvilstorage.NewError(anvilstorage.Refused, errDeferred)
+			l.post(m)
+			return
+		}
 		m.since = l.clock.Now()
 		m.extension = c.inherit(m.since, witnesses)
 		m.extension.until = m.since + extensionValidity
@@ -215,6 +229,9 @@
 		// renews, and the leadership becomes vacant again.
 		l.log.Record(anvilevent.LeadershipDenied, "token", m.leadership.Token(), "reason", m.err.Error())
 		ls.lastRead = 0
+		if m.deferred {
+			ls.deferredVersion = ls.claimedVersion
+		}
 		if e := anvilstorage.As(m.err); e.Kind() != anvilstorage.Unknown {
 			// An earlier claim of this instance may have been applied late.
 			if row := e.Row(anvilstorage.Leaderships, anvilstorage.LeadershipKey); row.Version() != 0 {
--- a/entry/anvilscheduler/messages.go
+++ b/entry/anvilscheduler/messages.go
@@ -36,10 +36,11 @@
 }
 
 // claimAnswered is the result of a claim of the leadership; since is when the claim was sent, rowVersion the new
-// version of the leadership row, and now the store's time, or 0.
+// version of the leadership row, and now the store's time, or 0. A deferred claim wasn't sent.
 type claimAnswered struct {
 	leadership anvilstorage.Leadership
 	extension  extension
+	deferred   bool
 	now        anvilclock.Millis
 	since      anvilclock.Millis
 	rowVersion int64
--- a/entry/anvilscheduler/outage.go
+++ b/entry/anvilscheduler/outage.go
@@ -106,7 +106,9 @@
 	if !l.leading() || e.found == nil || (e.stored != nil && slices.Equal(e.found, e.stored)) {
 		return nil
 	}
-	row, err := anvilstorage.WitnessRow(anvilstorage.NewWitnesses(l.leadership.token, e.found))
+	// The leader may claim the leadership again, when the next leader hasn't stored its own witnesses yet.
+	addrs := append(slices.Clone(e.found), l.self.Addr())
+	row, err := anvilstorage.WitnessRow(anvilstorage.NewWitnesses(l.leadership.token, addrs))
 	if err != nil {
 		return err
 	}
--- a/entry/anvilscheduler/simulation_loop_test.go
+++ b/entry/anvilscheduler/simulation_loop_test.go
@@ -302,6 +302,10 @@
 	case commitAnswered:
 		l.playCommit(m.batch, l.clock.Now())
 	case claimAnswered:
+		if len(l.txs) == 0 {
+			s.after(0, l.name, func() { l.receive(m) })
+			break
+		}
 		l.playClaim(m, l.txs[len(l.txs)-1])
 	case cleanAnswered:
 		l.playClean(m, slices.Clone(l.txs))
