--- a/load/soak_test.go
+++ b/load/soak_test.go
@@ -10,12 +10,17 @@
 // domainSeed is a seed whose faults of failure domains overlap.
 const domainSeed = 112
 
+// lossSeed is a seed that loses four workers and kills the leader beside them.
+const lossSeed = 39354
+
 // Durations for which faults are injected. The faults of a seed depend on the duration.
 const (
 	shortSoak  = 5 * time.Second
 	domainSoak = 8 * time.Second
 	middleSoak = 12 * time.Second
 	longSoak   = 15 * time.Second
+	// One round of lost workers, with the calm after it.
+	roundSoak = 32 * time.Second
 )
 
 func runSoak(t *testing.T, seed uint64, opts ...anvilsoak.Option) anvilsoak.Result {
@@ -53,6 +58,10 @@
 		// Guards against violations when all workers of a failure domain are disturbed at once, in series with the leader.
 		assertNoViolations(t, runSoak(t, domainSeed, anvilsoak.WithDomainFaults(), anvilsoak.WithSizes(4, 9), anvilsoak.WithLength(domainSoak)))
 	})
+	t.Run("loss of workers beside a change of the leader", func(t *testing.T) {
+		// Guards against long-running tasks that stay away after the loss of their worker, or run twice.
+		assertNoViolations(t, runSoak(t, lossSeed, anvilsoak.WithLongRunning(), anvilsoak.WithSizes(5, 12), anvilsoak.WithLength(roundSoak)))
+	})
 	// Gang jobs are tested by make soak only: on a busy machine the stand-in may not end their tasks together.
 	for _, c := range []struct {
 		seed   uint64
