--- a/entry/anvilscheduler/extension.go
+++ b/entry/anvilscheduler/extension.go
@@ -33,7 +33,7 @@
 // mayExtendLeases reports whether the leader may extend leases now.
 func (l *Loop) mayExtendLeases(now anvilclock.Millis) bool {
 	e := &l.leadership.extension
-	// A successor that is no witness reckons with the grace from the stored row.
+	// A successor that is no witness accounts for the grace from the stored row.
 	grace := e.until - extensionValidity + leaseGrace
 	return l.mayOrder(now) && (now < e.until || now < min(e.confirmedUntil, grace))
 }
--- a/entry/anvilscheduler/extension_test.go
+++ b/entry/anvilscheduler/extension_test.go
@@ -262,7 +262,7 @@
 	return s.Store.Scan(ctx, table)
 }
 
-// Guards against a long-running task that stays away because the leader's next process reckons with confirmations that nobody uses.
+// Guards against a long-running task that stays away because the leader's next process accounts for confirmations that nobody uses.
 func TestLongRunningTaskReturnsAfterRestartOfLeader(t *testing.T) {
 	for _, tt := range []struct {
 		name      string
@@ -287,7 +287,7 @@
 }
 
 // Guards against confirmations for a leader whose successor is an earlier claim of this instance: a third instance that claims next
-// doesn't reckon with them.
+// doesn't account for them.
 func TestNoConfirmationAfterOwnClaimWasAppliedLate(t *testing.T) {
 	fc, leader, witness, _ := startedWithWitness(t)
 	token := leader.loop.leadership.token
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -57,7 +57,7 @@
 	// incarnation; 0 when there is none.
 	formerClockExpiry anvilclock.Millis
 	// formerIncarnation is the one before this one until formerClockExpiry, or 0. Records name it instead of this one: a successor
-	// then reckons with the longest lease, too.
+	// then accounts for the longest lease, too.
 	formerIncarnation int64
 	// lastExtended is when the last order that extends leases was sent.
 	lastExtended anvilclock.Millis
--- a/entry/anvilscheduler/outage.go
+++ b/entry/anvilscheduler/outage.go
@@ -12,7 +12,7 @@
 
 // Witnesses asks other instances for confirmations.
 type Witnesses interface {
-	// ConfirmOutage asks the instance at an address to reckon with extensions of leases by the leader with a token for
+	// ConfirmOutage asks the instance at an address to account for extensions of leases by the leader with a token for
 	// outageConfirmation in case it becomes leader itself. It fails when the instance doesn't answer.
 	ConfirmOutage(ctx context.Context, addr string, token int64) (confirmed bool, err error)
 }
@@ -75,7 +75,7 @@
 	w.claimed = 0
 }
 
-// ConfirmOutage answers the leader with a token that can't reach the store. When it returns true, this instance reckons with
+// ConfirmOutage answers the leader with a token that can't reach the store. When it returns true, this instance accounts for
 // leases that the leader extends within outageConfirmation from now. It is safe for concurrent use.
 func (l *Loop) ConfirmOutage(token int64) bool { return l.witness.confirm(token, l.clock.Now()) }
 
--- a/entry/anvilscheduler/outage_test.go
+++ b/entry/anvilscheduler/outage_test.go
@@ -89,8 +89,8 @@
 		assertEqual(t, "no leader", w.confirm(0, now), false)
 		assertEqual(t, "the leader", w.confirm(3, now), true)
 	})
-	t.Run("a claim reckons with what was confirmed and ends confirmations", func(t *testing.T) {
-		// Guards against leases that are extended beyond what a successor reckons with.
+	t.Run("a claim accounts for what was confirmed and ends confirmations", func(t *testing.T) {
+		// Guards against leases that are extended beyond what a successor accounts for.
 		w := &witness{}
 		w.observe(3)
 		w.confirm(3, now)
@@ -99,7 +99,7 @@
 		w.dropClaim()
 		assertEqual(t, "confirmed after the claim has failed", w.confirm(3, now+1), true)
 	})
-	t.Run("a new process reckons with what its predecessor may have confirmed", func(t *testing.T) {
+	t.Run("a new process accounts for what its predecessor may have confirmed", func(t *testing.T) {
 		fc, _ := started(t, "w1")
 		h := fc.newHarness("e2")
 		assertEqual(t, "confirmed until", h.loop.witness.claim(9), fc.clock.Now()+outageConfirmation)
--- a/entry/anvilstorage/lease.go
+++ b/entry/anvilstorage/lease.go
@@ -67,7 +67,7 @@
 const WitnessKey = "fleet"
 
 // Witnesses are the instances that a leader asks during an outage of the store: it extends leases only as long as all of them
-// confirm that they reckon with these leases in case they become leader.
+// confirm that they account for these leases in case they become leader.
 type Witnesses struct {
 	token int64
 	addrs []string
