--- a/entry/anvilscheduler/extension.go
+++ b/entry/anvilscheduler/extension.go
@@ -59,7 +59,7 @@
 	return anvilstorage.LeadershipRow(m)
 }
 
-// claim is a claim of the leadership and what it bases on.
+// claim is a claim of the leadership and what it is based on.
 type claim struct {
 	former anvilstorage.Leadership
 	// vacant means that no leadership row exists.
--- a/entry/anvilscheduler/extension_test.go
+++ b/entry/anvilscheduler/extension_test.go
@@ -112,14 +112,12 @@
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	t.Logf("row of %d, lastRenewed %d, until %d", applied, leader.loop.leadership.lastRenewed-applied, leader.loop.leadership.extension.until-applied)
 	// From now on nothing reaches the store but a new instance, which reaches w2 only.
 	next := fc.newHarness("e3")
 	next.loop.workers = cutWorkers{fakeCluster: fc, cut: "w1"}
 	step(14_000, leader, next)
 	assertEqual(t, "the witness never led", witness.loop.leadership.token, 0)
 	assertEqual(t, "the new instance is leader", next.loop.leading(), true)
-	t.Logf("former end %d", next.loop.leadership.extension.formerEnd-applied)
 	close(answer)
 }
 
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -41,7 +41,7 @@
 	// distanceFactor is the delay of a claim in multiples of the round trip to the store. An instance near the store is a
 	// better leader, because the leader commits all the time. 24 ms between regions delay a claim by 240 ms.
 	distanceFactor = 10
-	// extensionValidity is how long the leader may extend leases, counted from the sending of its last applied commit. It
+	// extensionValidity is how long the leader may extend leases, counted from when its last applied commit was made. It
 	// ends before the work of a worker that was lost beside the leader counts as away for too long, and spans two renewals
 	// at a slow store.
 	extensionValidity = anvilclock.Millis(800)
