review: show a late start at the next process of a minion (TWICE)

Cause: a start is sent a second time while the first attempt is open, and nothing waits for the first once the second is answered.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays the case "quota" against the program of the deploy file. TROUBLE=0 leaves the disruption out.
+# Plays the case "waiting" against the program of the deploy file. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/rig ] && [ -x target/anvilnode ] || exit 2
-exec target/review-2/rig quota review/10
+exec target/review-2/rig waiting review/10
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -27,6 +27,8 @@
 	begin  time.Time
 	starts []startEvent
 	total  int64
+	// noted holds when the first ends "done" of tasks were taken note of without a lapse of the lease since the end.
+	noted map[string]time.Time
 }
 
 func newRecorder(path string) (*recorder, error) {
@@ -34,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &recorder{out: out, begin: time.Now()}, nil
+	return &recorder{out: out, begin: time.Now(), noted: map[string]time.Time{}}, nil
 }
 
 func (r *recorder) log(words ...any) {
@@ -80,3 +82,21 @@
 	defer r.mu.Unlock()
 	return append([]startEvent(nil), r.starts...)
 }
+
+// endNoted records that the system has taken note of an end.
+func (r *recorder) endNoted(m *minion, e end) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.write("end", e.number, "of", m.id, "is taken note of:", e.task, "run", e.run, "how", e.how, "lapsed", e.lapsed)
+	if _, known := r.noted[e.task]; e.how == "done" && !e.lapsed && !known {
+		r.noted[e.task] = time.Now()
+	}
+}
+
+// doneNoted reports when an end "done" of a task was taken note of.
+func (r *recorder) doneNoted(task string) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, ok := r.noted[task]
+	return at, ok
+}
