--- a/review/rig/case_lasting.go
+++ b/review/rig/case_lasting.go
@@ -62,6 +62,13 @@
 		for _, m := range all[:perRack] {
 			old = append(old, m.current())
 		}
+		// Under this load a hold that acknowledges ends waits at each minion nearly all the time.
+		for begin := time.Now(); !old[0].acknowledges() || !old[1].acknowledges(); time.Sleep(time.Millisecond) {
+			if time.Since(begin) > 5*time.Second {
+				return nil, fmt.Errorf("no hold acknowledges ends")
+			}
+		}
+		lastRun = time.Now()
 		for _, m := range all[:perRack] {
 			m.crash(true)
 		}
--- a/review/rig/minion.go
+++ b/review/rig/minion.go
@@ -62,8 +62,10 @@
 	ends    []end
 	lastEnd int64
 	ended   chan struct{} // closed and replaced at each end
-	seq     int64
-	state   string
+	// acking is the number of holds that have acknowledged ends and wait for the next end.
+	acking int
+	seq    int64
+	state  string
 }
 
 type run struct {
@@ -150,6 +152,13 @@
 // powerOn ends the silence of a dark minion's former process, whose address the next one takes.
 func (l *life) powerOff() { _ = l.server.Close() }
 
+// acknowledges reports whether a hold that acknowledges ends waits at the process.
+func (l *life) acknowledges() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.acking > 0
+}
+
 // cut partitions the minion from the system's machines until the returned function is called. It runs on.
 func (m *minion) cut() (heal func()) {
 	c := make(chan struct{})
@@ -465,6 +474,14 @@
 		l.extend(o.Deadline)
 	}
 	deadline := time.After(min(time.Duration(o.Wait)*time.Millisecond, maxWait))
+	if o.LastSeen > 0 {
+		l.acking++
+		defer func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.acking--
+		}()
+	}
 	for len(l.ends) == 0 && o.Wait > 0 {
 		ended := l.ended
 		l.mu.Unlock()
