--- a/review/rig/minion.go
+++ b/review/rig/minion.go
@@ -128,8 +128,8 @@
 	return m.life
 }
 
-// crash ends the process of the minion and everything that runs on it. A dark minion keeps its connections open and silent
-// until wake is closed, as a machine without power does; otherwise they are closed.
+// crash ends the process of the minion and everything that runs on it. The connections of a dark minion stay open and silent
+// until powerOff, as those of a machine without power do; otherwise they are closed.
 func (m *minion) crash(dark bool) {
 	m.mu.Lock()
 	l := m.life
@@ -149,7 +149,7 @@
 	}
 }
 
-// powerOn ends the silence of a dark minion's former process, whose address the next one takes.
+// powerOff closes the listener and the connections of a dark minion's former process, so that the next one can take its address.
 func (l *life) powerOff() { _ = l.server.Close() }
 
 // acknowledges reports whether a hold that acknowledges ends waits at the process.
