review: use accelerators and the site's sizes in case 7

Cause: the large job of case 7 took all cores of a minion, which no job of the sites does; theirs take all GPUs. Change: the tasks of case 7 have GPUs and sizes like those of the site, and its claim names them.

--- a/review/rig/case_reserved.go
+++ b/review/rig/case_reserved.go
@@ -8,14 +8,13 @@
 
 func init() { cases["reserved"] = playReserved }
 
-// playReserved: one large job comes that needs three whole minions of kind b at once, while long-running tasks use one of the
-// three. Small jobs that need kind b have to run on the two others meanwhile, which are free.
+// playReserved: one large job comes that needs all accelerators of three minions of kind b at once, while tasks that last use those
+// of one of the three. Small jobs that need kind b have to run on the two others meanwhile, which are free.
 func playReserved(s *site, trouble bool) ([]string, error) {
 	const (
 		minions  = 12
 		kindB    = 3
-		cores    = 16000
-		lasting  = 8
+		gpus     = 8
 		interval = 250 * time.Millisecond
 		traffic  = 12 * time.Second
 		finish   = 14 * time.Second // finish_s
@@ -26,7 +25,7 @@
 		if i < kindB {
 			kind = "b"
 		}
-		if _, err := s.addMinion(shape{kind: kind, rack: fmt.Sprintf("r1-%d", 1+i/4), cpu: cores, memory: 65536}, nil); err != nil {
+		if _, err := s.addMinion(shape{kind: kind, rack: fmt.Sprintf("r1-%d", 1+i/4), cpu: 64000, memory: 262144, gpu: gpus}, nil); err != nil {
 			return nil, err
 		}
 	}
@@ -39,8 +38,8 @@
 	if err := s.awaitReady(); err != nil {
 		return nil, err
 	}
-	s.submit(0, newID(), "lasting", step{"count": lasting, "cpu": cores / lasting, "memory_request_mb": 256, "estimated_ms": 1000, "requirements": "b", "long_running": true})
-	for end := time.Now().Add(10 * time.Second); s.running() < lasting; time.Sleep(10 * time.Millisecond) {
+	s.submit(0, newID(), "lasting", step{"count": gpus, "cpu": 2000, "memory_request_mb": 256, "gpu": 1, "estimated_ms": 1000, "requirements": "b", "long_running": true})
+	for end := time.Now().Add(10 * time.Second); s.running() < gpus; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
 			return nil, fmt.Errorf("%d tasks have begun", s.running())
 		}
@@ -48,12 +47,12 @@
 	var accepted []string
 	begin := time.Now()
 	for i := 0; time.Since(begin) < traffic; i++ {
-		if id := newID(); s.submit(i, id, "work=300", step{"count": 1, "cpu": 1000, "memory_request_mb": 256, "estimated_ms": 300, "requirements": "b"}) {
+		if id := newID(); s.submit(i, id, "work=300", step{"count": 1, "cpu": 5600, "memory_request_mb": 256, "gpu": 1, "estimated_ms": 300, "requirements": "b"}) {
 			accepted = append(accepted, id)
 		}
 		if trouble && i == 8 {
 			s.rec.log("the large job comes")
-			s.submit(i, newID(), "work=20000 gang", step{"count": kindB, "cpu": cores, "memory_request_mb": 1024, "estimated_ms": 20000, "requirements": "b", "gang": true})
+			s.submit(i, newID(), "work=20000 gang", step{"count": kindB, "cpu": 31000, "memory_request_mb": 1024, "gpu": gpus, "estimated_ms": 20000, "requirements": "b", "gang": true})
 		}
 		time.Sleep(interval)
 	}
@@ -73,8 +72,8 @@
 	for i, id := range accepted {
 		state := s.state(s.nodes[i%len(s.nodes)], id)
 		if !begun[id] && !after[id] && state != "completed" && free >= 2 {
-			out = append(out, fmt.Sprintf("LOST: job %s is %q and has nothing running %v after the end of the traffic, while %d minions of kind b are free and %d of %d cores are in use",
-				id, state, finish+idle, free, lasting*cores/lasting/1000, minions*cores/1000))
+			out = append(out, fmt.Sprintf("LOST: job %s is %q and has nothing running %v after the end of the traffic, while %d minions of kind b are free, and %d of %d accelerators are in use",
+				id, state, finish+idle, free, gpus, minions*gpus))
 		}
 	}
 	return out, nil
