anvillocality: wait for a near place as long as it pays

Cause: a task whose data's rack was full started elsewhere at once, where it runs remote_penalty times as long, and a gang that asks for one rack was spread over several; each label was tried as a rack, also that of the kind of machine.

Change: the leader compares the expected wait for a near place with the longer run and what is left until the job's objective. Off unless the settings have remote_penalty above 1 and a step names a rack or asks for one.

Result: the subtests of TestNearWait fail without the rule (the case without a penalty shows the former placement); tests of anvillocality, anvilscheduler and the adapter pass, but for the known TestLongRunningStartWithoutAnswerAtRestartedWorker.

--- a/entry/anvilscheduler/advice.go
+++ b/entry/anvilscheduler/advice.go
@@ -164,10 +164,10 @@
 		}
 		// Capacity is reserved for a large task only at approved workers, so the query can't wait until there is some.
 		beforeCapacity := n <= 0 && large && !s.tickets.queried[c.worker] && size.Fits(c.worker.registration.capacity)
-		if n <= 0 && !beforeCapacity {
+		if n <= 0 && !beforeCapacity && !p.queriesNear(s, c) {
 			continue
 		}
-		option := queryOption{candidate: c, tasks: n, free: free.Dominant(c.worker.registration.capacity), status: statusUnknown}
+		option := queryOption{candidate: c, tasks: max(n, 0), free: free.Dominant(c.worker.registration.capacity), status: statusUnknown}
 		if beforeCapacity {
 			option.tasks, option.status = 1, statusNoCapacityYet
 		}
--- a/entry/anvilscheduler/interfaces.go
+++ b/entry/anvilscheduler/interfaces.go
@@ -66,6 +66,7 @@
 	pool        string
 	domain      string
 	labels      []string
+	rack        string
 	capacity    anvilsize.Size
 	incarnation int64
 	draining    bool
@@ -102,6 +103,12 @@
 	return r
 }
 
+// OnRack returns a copy of the entry of a worker on a rack, which is also one of its labels.
+func (r Registration) OnRack(rack string) Registration {
+	r.rack = rack
+	return r
+}
+
 // WithIncarnation returns a copy of the entry for a newer incarnation of the worker, which is not draining.
 func (r Registration) WithIncarnation(incarnation int64) Registration {
 	r.incarnation, r.draining, r.remaining = incarnation, false, 0
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -10,6 +10,7 @@
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilevent"
 	"anvilhold.org/lib/anvilinvariant"
+	"anvilhold.org/lib/anvillocality"
 	"anvilhold.org/lib/anvilpolicy"
 )
 
@@ -98,6 +99,7 @@
 	directory    *Directory
 
 	limits     leaseLimits
+	locality   *anvillocality.Rule
 	state      instanceState
 	leadership leadership
 	storeTime  storeClock
@@ -178,6 +180,12 @@
 	return func(l *Loop) { l.limits.heartbeat = interval }
 }
 
+// WithRemotePenalty sets how many times as long a run takes on another rack than that of its data or its gang. Above 1, tasks
+// wait for a near place where that pays; by default they never do.
+func WithRemotePenalty(penalty float64) Option {
+	return func(l *Loop) { l.locality = anvillocality.New(penalty) }
+}
+
 // WithMachine sets the name of the machine, with which the names of its instances begin. When the leader's name begins
 // with it, the leader was an earlier process of the machine, which has exited, and this instance claims without a
 // delay.
@@ -196,7 +204,7 @@
 func New(self anvilstorage.Instance, s Store, r Registry, w Workers, a Advisors, opts ...Option) (*Loop, error) {
 	l := &Loop{
 		self: self, store: s, registry: r, workers: w, advisors: a, clock: anvilclock.NewBoot(),
-		log: &anvilevent.Log{}, check: anvilinvariant.New(), meter: noMeter{}, notifier: noNotifier{},
+		log: &anvilevent.Log{}, check: anvilinvariant.New(), meter: noMeter{}, notifier: noNotifier{}, locality: anvillocality.New(0),
 		inbox: make(chan message, inboxSize), directory: NewDirectory(), ctx: context.Background(),
 		spawn:        func(f func()) { go f() },
 		after:        func(d anvilclock.Millis, f func()) { time.AfterFunc(d.Duration(), f) },
--- /dev/null
+++ b/entry/anvilscheduler/nearwait_test.go
@@ -0,0 +1,167 @@
+package anvilscheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anviljob"
+	"anvilhold.org/lib/anvilpolicy"
+)
+
+const (
+	nearRack, farRack = "rack-near", "rack-far"
+	rackCores         = 4
+)
+
+// startedOnRacks returns a cluster with n workers of four cores on each of two racks, all workers on the near rack filled
+// by tasks of four cores with the given estimate, which are named fill0 and so on.
+func startedOnRacks(t *testing.T, n int, fill anvilclock.Millis, opts ...Option) (*fakeCluster, *harness) {
+	t.Helper()
+	fc := newFakeCluster(t, anvilpolicy.New(1, []anvilpolicy.Queue{
+		anvilpolicy.NewQueue(plainQueue, "h", "/p/", poolName, anvilpolicy.WithAttempts(3), anvilpolicy.WithObjective(2, 200)),
+	}, anvilpolicy.WithTeams(anvilpolicy.NewTeam(teamName, 100, core(1000), []string{"key"}))))
+	for _, rack := range []string{nearRack, farRack} {
+		for i := range n {
+			fc.addWorker(fmt.Sprintf("%s-%d", rack, i), core(rackCores), "kind", rack)
+			last := len(fc.registry) - 1
+			fc.registry[last] = fc.registry[last].OnRack(rack)
+		}
+	}
+	h := fc.newHarness("e1", opts...)
+	fc.advance(firstClaimTime, h)
+	for i := range n {
+		fc.submit(fmt.Sprintf("fill%d", i), plainQueue, teamName, anviljob.NewStep(1, core(rackCores), anviljob.WithEstimate(fill), anviljob.WithLabel(nearRack)))
+	}
+	fc.advance(reactionTime, h)
+	assertEqual(t, "tasks on the near rack", fc.onRack(nearRack), n)
+	return fc, h
+}
+
+func (fc *fakeCluster) submitNear(id string, work anvilclock.Millis) {
+	fc.submit(id, plainQueue, teamName, anviljob.NewStep(1, core(rackCores), anviljob.WithEstimate(work), anviljob.WithRack(nearRack)))
+}
+
+// onRack returns how many tasks run on the workers of a rack.
+func (fc *fakeCluster) onRack(rack string) int {
+	n := 0
+	for _, id := range fc.running() {
+		for _, reg := range fc.registry {
+			if reg.rack == rack && fc.workerOf(id) == fc.workers[reg.id] {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func assertRackOf(t *testing.T, fc *fakeCluster, task, want string) {
+	t.Helper()
+	got := "none"
+	for _, reg := range fc.registry {
+		if w := fc.workerOf(task); w != nil && w == fc.workers[reg.id] {
+			got = reg.rack
+		}
+	}
+	assertEqual(t, "rack of "+task, got, want)
+}
+
+// Guards against runs that take longer elsewhere although a near place is free soon, and against waits that cost callers
+// more than the longer run.
+func TestNearWait(t *testing.T) {
+	penalty := WithRemotePenalty(3)
+	t.Run("a near place is free soon", func(t *testing.T) {
+		fc, h := startedOnRacks(t, 1, 600, penalty)
+		fc.submitNear("j1", 1000)
+		fc.advance(reactionTime, h)
+		assertRackOf(t, fc, "j1.0.0.0", "none")
+		fc.endRun("fill0.0.0.0", CauseDone, "")
+		fc.advance(reactionTime, h)
+		assertRackOf(t, fc, "j1.0.0.0", nearRack)
+	})
+	t.Run("a near place is free too late", func(t *testing.T) {
+		fc, h := startedOnRacks(t, 1, 20_000, penalty)
+		fc.submitNear("j1", 1000)
+		fc.advance(reactionTime, h)
+		assertRackOf(t, fc, "j1.0.0.0", farRack)
+	})
+	t.Run("without a penalty", func(t *testing.T) {
+		fc, h := startedOnRacks(t, 1, 600)
+		fc.submitNear("j1", 1000)
+		fc.advance(reactionTime, h)
+		assertRackOf(t, fc, "j1.0.0.0", farRack)
+	})
+	t.Run("the near place is not free when it is expected", func(t *testing.T) {
+		fc, h := startedOnRacks(t, 1, 600, penalty)
+		fc.submitNear("j1", 1000)
+		fc.advance(reactionTime, h)
+		assertRackOf(t, fc, "j1.0.0.0", "none")
+		fc.advance(2000, h)
+		assertRackOf(t, fc, "j1.0.0.0", farRack)
+	})
+	t.Run("the near worker is lost", func(t *testing.T) {
+		fc, h := startedOnRacks(t, 1, 600, penalty)
+		fc.submitNear("j1", 1000)
+		fc.advance(reactionTime, h)
+		fc.workers[nearRack+"-0"].unreachable = true
+		fc.advance(2000, h)
+		assertRackOf(t, fc, "j1.0.0.0", farRack)
+	})
+	t.Run("a new leader takes the decision again", func(t *testing.T) {
+		fc, h := startedOnRacks(t, 1, 600, penalty)
+		fc.submitNear("j1", 1000)
+		fc.advance(reactionTime, h)
+		h.paused = true
+		next := fc.newHarness("e2", penalty)
+		fc.advance(10_000, next)
+		assertRackOf(t, fc, "j1.0.0.0", farRack)
+	})
+}
+
+// Guards against a crowd that waits for one rack: only the tasks wait that the rack can take before they would end elsewhere.
+func TestNearWaitOfManyTasks(t *testing.T) {
+	const racks, tasks = 4, 12
+	fc, h := startedOnRacks(t, racks, 500, WithRemotePenalty(2))
+	for i := range tasks {
+		fc.submitNear(fmt.Sprintf("j%02d", i), 1000)
+	}
+	fc.advance(reactionTime, h)
+	assertEqual(t, "tasks elsewhere", fc.onRack(farRack), racks)
+	for i := range racks {
+		fc.endRun(fmt.Sprintf("fill%d.0.0.0", i), CauseDone, "")
+	}
+	fc.advance(reactionTime, h)
+	assertEqual(t, "tasks on the near rack", fc.onRack(nearRack), racks)
+	assertEqual(t, "tasks elsewhere", fc.onRack(farRack), racks)
+}
+
+// Guards against gangs that start on several racks although one will soon have room for all, and against gangs that wait for
+// a rack for ever.
+func TestNearWaitOfGang(t *testing.T) {
+	gang := func(fc *fakeCluster, h *harness) {
+		fc.submit("j1", plainQueue, teamName, anviljob.NewStep(2, core(rackCores), anviljob.WithEstimate(1000), anviljob.WithGang(true, true)))
+		fc.advance(reactionTime, h)
+	}
+	// Each rack has two workers; one on each is busy.
+	start := func(t *testing.T, fill anvilclock.Millis) (*fakeCluster, *harness) {
+		fc, h := startedOnRacks(t, 2, fill, WithRemotePenalty(3))
+		fc.endRun("fill0.0.0.0", CauseDone, "")
+		fc.submit("far", plainQueue, teamName, anviljob.NewStep(1, core(rackCores), anviljob.WithEstimate(60_000), anviljob.WithLabel(farRack)))
+		fc.advance(reactionTime, h)
+		return fc, h
+	}
+	t.Run("a rack has room soon", func(t *testing.T) {
+		fc, h := start(t, 1200)
+		gang(fc, h)
+		assertRackOf(t, fc, "j1.0.0.0", "none")
+		fc.endRun("fill1.0.0.0", CauseDone, "")
+		fc.advance(reactionTime, h)
+		assertRackOf(t, fc, "j1.0.0.0", nearRack)
+		assertRackOf(t, fc, "j1.0.0.1", nearRack)
+	})
+	t.Run("no rack has room in time", func(t *testing.T) {
+		fc, h := start(t, 60_000)
+		gang(fc, h)
+		assertEqual(t, "tasks elsewhere", fc.onRack(farRack), 2)
+	})
+}
--- a/entry/anvilscheduler/pass.go
+++ b/entry/anvilscheduler/pass.go
@@ -8,6 +8,7 @@
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilevent"
 	"anvilhold.org/lib/anvilpolicy"
+	"anvilhold.org/lib/anvilsize"
 )
 
 // urgency orders stages: first those whose jobs can still meet their objective, then those that will be late, then
@@ -44,6 +45,8 @@
 	// reservations counts the stages that have reserved capacity in the pass.
 	reservations int
 	shortages    shortageCounts
+	// nearAhead is, for each rack, the size of the tasks that wait for places there and are more urgent than the current stage.
+	nearAhead map[string]anvilsize.Size
 }
 
 // shortageCounts counts the stages that could not start all their tasks, by the first reason that was found.
@@ -52,6 +55,7 @@
 	advice   int
 	ticket   int
 	capacity int
+	near     int
 }
 
 // pass binds waiting tasks to workers, stage by stage in order of urgency.
@@ -61,7 +65,7 @@
 		return
 	}
 	list := l.readyStages(now)
-	p := &passState{loop: l, now: now, pools: map[string]*poolSnapshot{}}
+	p := &passState{loop: l, now: now, pools: map[string]*poolSnapshot{}, nearAhead: map[string]anvilsize.Size{}}
 	for _, r := range list {
 		p.restoreReservation(r)
 	}
@@ -91,7 +95,7 @@
 	l.workload.lastSummary = p.now
 	l.log.Record(anvilevent.PassSummary, "jobs", len(l.workload.jobs), "ready", ready, "limit", p.shortages.limit,
 		"advice", p.shortages.advice,
-		"ticket", p.shortages.ticket, "room", p.shortages.capacity)
+		"ticket", p.shortages.ticket, "room", p.shortages.capacity, "near", p.shortages.near)
 	for name, pool := range l.fleet.pools {
 		if len(pool) == 0 {
 			continue
--- a/entry/anvilscheduler/place.go
+++ b/entry/anvilscheduler/place.go
@@ -23,7 +23,7 @@
 		}
 		return true
 	}
-	deferrable := p.deferrable(r)
+	deferrable, waits := p.deferrable(r), p.newNearWaits(r)
 	for _, t := range r.stage.tasks {
 		if t.machine.State() != taskWaiting {
 			continue
@@ -45,10 +45,13 @@
 			}
 			return true
 		}
+		if waits.defers(c) {
+			continue
+		}
 		l.place(t, c.worker)
 		snap.used = snap.used.Add(r.stage.step.Reservation())
 	}
-	return false
+	return waits.finish() > 0
 }
 
 // reserveForTickets reserves capacity at approved workers for tasks that only lack a valid ticket, and reports whether
@@ -97,7 +100,7 @@
 		if !c.worker.hasLabel(rack) || !r.stage.fits(c) {
 			return
 		}
-		if score := c.score(r.stage, t); best == nil || score < bestScore {
+		if score := c.score(r.stage, t) + p.contention(r.stage, c); best == nil || score < bestScore {
 			best, bestScore = c, score
 		}
 	}
@@ -131,6 +134,7 @@
 // Parts of the score of a placement, in parts per million of the worker's capacity. The lowest score is chosen.
 const (
 	remoteRackPenalty = 400_000   // the data is on another rack
+	contendedPenalty  = 200_000   // more urgent tasks wait for places near their data on the worker's rack
 	avoidPenalty      = 3_000_000 // the task's last run there failed, stalled or was refused
 	suspectPenalty    = 2_000_000 // runs fail or stall on the worker
 	mixedUsePenalty   = 1_500_000 // tasks with a latency target and opportunistic tasks would share the worker
@@ -190,6 +194,9 @@
 		return false
 	}
 	if plan := p.plan(r, true); plan != nil {
+		if p.defersGang(r, plan) {
+			return true
+		}
 		l.bindGang(p, r, plan)
 		return false
 	}
--- a/entry/anvilscheduler/poolsnapshot.go
+++ b/entry/anvilscheduler/poolsnapshot.go
@@ -28,7 +28,7 @@
 	reserved int
 	// mostUrgent is the most urgent priority among the queues of the pool; lower numbers are more urgent.
 	mostUrgent int
-	// racks are the labels of the workers, the most common first; nil until commonRacks is called.
+	// racks are the racks of the workers, the most common first; nil until commonRacks is called.
 	racks []string
 	// projections hold the expected free capacity of each candidate, keyed by the time in multiples of projectionStep.
 	projections map[anvilclock.Millis][]anvilsize.Size
@@ -96,15 +96,23 @@
 	return snap.suspects*maxSuspectDivisor <= len(snap.candidates) && w.health.suspect(now)
 }
 
-// commonRacks returns the labels of the pool's workers, the most common first. Each label is tried as a rack.
+// commonRacks returns the racks of the pool's workers, the most common first. When no worker names its rack, each label
+// is tried as one.
 func (snap *poolSnapshot) commonRacks() []string {
 	if snap.racks != nil {
 		return snap.racks
 	}
 	counts := map[string]int{}
 	for _, c := range snap.candidates {
-		for _, label := range c.worker.registration.labels {
-			counts[label]++
+		if rack := c.worker.registration.rack; rack != "" {
+			counts[rack]++
+		}
+	}
+	if len(counts) == 0 {
+		for _, c := range snap.candidates {
+			for _, label := range c.worker.registration.labels {
+				counts[label]++
+			}
 		}
 	}
 	snap.racks = make([]string, 0, len(counts))
--- a/entry/anvilscheduler/workload.go
+++ b/entry/anvilscheduler/workload.go
@@ -106,6 +106,7 @@
 	// perWorker counts the tasks that are bound to each worker.
 	perWorker map[*worker]int
 	tickets   tickets
+	near      nearWait
 	// reserved holds the workers on which the stage reserves capacity until the next pass, one entry for each task.
 	reserved []*worker
 	// failures and lastFailedRun are used for a gang, whose tasks fail together.
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -118,6 +118,8 @@
 	RunPaced              ID = 6308
 	RunMoved              ID = 6309
 	TaskAttemptsExhausted ID = 6310
+	NearWaitStarted       ID = 6321
+	NearWaitEnded         ID = 6322
 	AdviceGiven           ID = 6401
 	AdviceFailed          ID = 6402
 	PassSummary           ID = 6403
@@ -234,6 +236,8 @@
 	{RunPaced, "run paced", "An opportunistic task is throttled or resumed because of a serving task."},
 	{RunMoved, "run moved", "A run is stopped because its worker will leave before the run ends."},
 	{TaskAttemptsExhausted, "task spent", "A task has failed as often as its queue allows."},
+	{NearWaitStarted, "near wait", "A step waits for places near its data or its group, although it could start elsewhere."},
+	{NearWaitEnded, "near wait over", "The step's wait for near places is over."},
 	{AdviceGiven, "advice given", "The advisor has answered which workers may run a step."},
 	{AdviceFailed, "advice failed", "A query to the advisor failed or got no answer."},
 	{PassSummary, "pass summary", "Once a second: how many steps wait, and for what."},
