anvilscheduler: bound and order reservations

Change: a reservation needs a time at which its workers will have the capacity. It leaves alone more urgent queues, long-running tasks, tasks that end in time by 1.9 times their estimate, and what the tasks that end before it leave.

--- a/entry/anvilscheduler/advice.go
+++ b/entry/anvilscheduler/advice.go
@@ -158,7 +158,12 @@
 		}
 		free := projected[c.index].Sub(c.claimed)
 		n := countFitting(size, free, s.waiting)
+		// Reservations don't limit every stage that needs this size.
 		anyFits = anyFits || n > 0
+		if len(c.reservations) > 0 {
+			free = free.Sub(c.reservedFrom(s))
+			n = countFitting(size, free, s.waiting)
+		}
 		if limit := s.step.MaxPerWorker(); limit > 0 {
 			n = min(n, limit-s.perWorker[c.worker])
 		}
--- a/entry/anvilscheduler/pass.go
+++ b/entry/anvilscheduler/pass.go
@@ -71,7 +71,6 @@
 		if blocked && r.stage.waiting > 0 && r.queue.Advice().Needed() {
 			l.requestTickets(p, r)
 		}
-		p.claimReserved(r)
 	}
 	took := l.clock.Now() - now
 	l.workload.passInterval = max(minPassInterval, took*passIdleFactor)
--- a/entry/anvilscheduler/place.go
+++ b/entry/anvilscheduler/place.go
@@ -73,7 +73,7 @@
 }
 
 func (l *Loop) place(t *task, w *worker) {
-	t.worker = w
+	t.worker, t.stage.reservation = w, stageReservation{}
 	t.ticket = t.stage.tickets.forStart(w)
 	l.fireTask(t, "place")
 }
@@ -121,7 +121,7 @@
 // fits reports whether a worker's free capacity, its labels and the limit per worker allow one more task of the stage.
 // The advisor's approval is not checked.
 func (s *stage) fits(c *candidate) bool {
-	if !s.step.Reservation().Fits(c.free()) || !c.worker.hasLabel(s.step.Label()) {
+	if !s.step.Reservation().Fits(c.freeFor(s)) || !c.worker.hasLabel(s.step.Label()) {
 		return false
 	}
 	n := s.step.MaxPerWorker()
@@ -138,7 +138,7 @@
 )
 
 func (c *candidate) score(s *stage, t *task) int64 {
-	remaining := c.free().Sub(s.step.Reservation())
+	remaining := c.freeFor(s).Sub(s.step.Reservation())
 	score := remaining.Dominant(c.worker.registration.capacity)
 	if rack := s.step.Rack(); rack != "" && !c.worker.hasLabel(rack) {
 		score += remoteRackPenalty
--- a/entry/anvilscheduler/poolsnapshot.go
+++ b/entry/anvilscheduler/poolsnapshot.go
@@ -47,17 +47,18 @@
 type candidate struct {
 	worker *worker
 	index  int
+	now    anvilclock.Millis
 	// freeCPU is the CPU in millicores that was free when the pass began. It is an upper bound: free CPU only shrinks
 	// during a pass.
 	freeCPU int64
-	// reserved is capacity that more urgent stages hold while they wait for tickets or for enough capacity elsewhere.
-	reserved anvilsize.Size
+	// reserved is capacity that more urgent stages hold while they wait for tickets, reservations what stages hold that wait for
+	// enough capacity.
+	reserved     anvilsize.Size
+	reservations []reservation
 	// claimed is capacity that more urgent stages will probably use once their advisor queries are answered.
 	claimed anvilsize.Size
 }
 
-func (c *candidate) free() anvilsize.Size { return c.worker.free().Sub(c.reserved) }
-
 // pool returns the snapshot of a pool, which it takes at the first call in a pass.
 func (p *passState) pool(pool string) *poolSnapshot {
 	if snap := p.pools[pool]; snap != nil {
@@ -71,7 +72,7 @@
 			continue
 		}
 		free := w.free()
-		w.candidate = &candidate{worker: w, freeCPU: free.CPU()}
+		w.candidate = &candidate{worker: w, now: p.now, freeCPU: free.CPU()}
 		snap.candidates = append(snap.candidates, w.candidate)
 		if w.health.suspect(p.now) {
 			snap.suspects++
--- a/entry/anvilscheduler/reserve.go
+++ b/entry/anvilscheduler/reserve.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anvilevent"
+	"anvilhold.org/lib/anvilsize"
 )
 
 // large reports whether tasks of a stage need so much of a worker that a stream of small tasks could starve them.
@@ -13,64 +15,177 @@
 	return r.stage.step.Reservation().Dominant(p.pool(r.queue.Pool()).maxCapacity) >= largeTaskShare
 }
 
+// stageReservation is what a stage keeps of its reservation from pass to pass.
+type stageReservation struct {
+	// workers are those on which capacity is reserved until the next pass, one entry for each task.
+	workers []*worker
+	// startAt is when the stage was expected to start when it began to reserve; 0 while it hasn't.
+	startAt anvilclock.Millis
+	// pausedUntil is the time before which the stage reserves nothing, because its reservation has lapsed.
+	pausedUntil anvilclock.Millis
+}
+
+// reservation is capacity of a candidate that a stage holds for tasks which can't start yet.
+type reservation struct {
+	stage    *stage
+	priority int
+	size     anvilsize.Size
+	// freeAt is when the candidate will have the capacity, startAt when the stage will start.
+	freeAt  anvilclock.Millis
+	startAt anvilclock.Millis
+}
+
+// binds reports whether a reservation limits the capacity of a stage. It doesn't limit long-running tasks, which must not be away
+// for as long as others wait, those of a more urgent queue, and tasks that end before it is needed.
+func (r reservation) binds(s *stage, now anvilclock.Millis) bool {
+	switch estimate := s.step.Estimate(); {
+	case s.step.LongRunning():
+		return false
+	case estimate > 0 && now+estimate*(100+estimateError)/100 <= r.startAt:
+		return false
+	}
+	q, ok := s.job.loop.queueOf(s.job)
+	return !ok || q.Priority() >= r.priority
+}
+
+// freeFor returns the free capacity of a candidate for a stage, less what others reserve and the tasks that end there until then
+// don't free.
+func (c *candidate) freeFor(s *stage) anvilsize.Size {
+	free := c.worker.free().Sub(c.reserved)
+	if len(c.reservations) == 0 {
+		return free
+	}
+	available, reserved := free, anvilsize.Size{}
+	for _, r := range c.reservations {
+		reserved = reserved.Add(r.size)
+		if !r.binds(s, c.now) {
+			continue
+		}
+		left := free.Sub(reserved)
+		for t := range c.worker.tasks {
+			if t.expectedEnd(c.now) <= r.freeAt {
+				left = left.Add(t.stage.step.Reservation())
+			}
+		}
+		available = available.Min(left)
+	}
+	return available
+}
+
+// reservedFrom returns the capacity of a candidate that others reserve and a stage may not use.
+func (c *candidate) reservedFrom(s *stage) anvilsize.Size {
+	var sum anvilsize.Size
+	for _, r := range c.reservations {
+		if r.binds(s, c.now) {
+			sum = sum.Add(r.size)
+		}
+	}
+	return sum
+}
+
 // restoreReservation reserves again what a stage has reserved in an earlier pass. It is called for all stages before
-// any is placed: more urgent stages would use the capacity piece by piece otherwise. The reservation is dropped when a
+// any is placed: stages of the same urgency would use the capacity piece by piece otherwise. The reservation is dropped when a
 // worker of it is no longer schedulable, or when reservations would cover too much of the pool.
 func (p *passState) restoreReservation(r readyStage) {
-	snap := p.pool(r.queue.Pool())
-	if len(r.stage.reserved) == 0 || r.urgency.band == bandWorthless ||
-		(snap.reserved+len(r.stage.reserved))*reservedPoolDivisor > max(len(snap.candidates), reservedPoolDivisor) {
-		r.stage.reserved = nil
+	snap, kept := p.pool(r.queue.Pool()), &r.stage.reservation
+	workers := kept.workers
+	kept.workers = nil
+	if len(workers) == 0 || r.urgency.band == bandWorthless ||
+		(snap.reserved+len(workers))*reservedPoolDivisor > max(len(snap.candidates), reservedPoolDivisor) {
 		return
 	}
-	for _, w := range r.stage.reserved {
-		if w.candidate == nil {
-			r.stage.reserved = nil
-			return
-		}
-	}
-	snap.reserved += len(r.stage.reserved)
-	for _, w := range r.stage.reserved {
-		w.candidate.reserved = w.candidate.reserved.Add(r.stage.step.Reservation())
-		w.candidate.claimed = w.candidate.claimed.Add(r.stage.step.Reservation())
+	if p.lapsed(r) || !p.addReservation(r, workers) {
+		return
 	}
+	snap.reserved += len(workers)
 }
 
 // releaseReservation frees the reservation of a stage right before the stage is placed, so that it can use it.
 func (p *passState) releaseReservation(r readyStage) {
-	for _, w := range r.stage.reserved {
-		w.candidate.reserved = w.candidate.reserved.Sub(r.stage.step.Reservation())
-		w.candidate.claimed = w.candidate.claimed.Sub(r.stage.step.Reservation())
+	for _, w := range r.stage.reservation.workers {
+		w.candidate.reservations = slices.DeleteFunc(w.candidate.reservations, func(other reservation) bool { return other.stage == r.stage })
 	}
-	r.stage.reserved = nil
+	r.stage.reservation.workers = nil
 }
 
-// claimReserved claims what the stage has reserved in this pass, so that less urgent stages send no advisor queries for
-// that capacity.
-func (p *passState) claimReserved(r readyStage) {
-	for _, w := range r.stage.reserved {
-		w.candidate.claimed = w.candidate.claimed.Add(r.stage.step.Reservation())
+// reserveCapacity reserves capacity for n tasks of a stage at the workers that will have it first, if the stage is expected to
+// start in time for its job to be of worth.
+func (p *passState) reserveCapacity(r readyStage, n int) {
+	if p.reservations >= maxReservations || r.urgency.band == bandWorthless || p.lapsed(r) || p.now < r.stage.reservation.pausedUntil {
+		return
+	}
+	workers := p.earliestWorkers(r, n)
+	if len(workers) == 0 || !p.addReservation(r, workers) {
+		return
 	}
+	p.reservations++
 }
 
-// reserveCapacity reserves capacity for n tasks of a stage at the workers that will have it first.
-func (p *passState) reserveCapacity(r readyStage, n int) {
-	if p.reservations >= maxReservations || r.urgency.band == bandWorthless {
-		return
+// lapsed ends the reservation of a stage that hasn't started for reservationGrace after it should have, because the estimates of
+// the tasks before it are wrong. Other stages can use the capacity during the pause after that.
+func (p *passState) lapsed(r readyStage) bool {
+	kept := &r.stage.reservation
+	if kept.startAt == 0 || p.now < kept.startAt+reservationGrace {
+		return false
 	}
-	for _, c := range p.earliestCandidates(r, n) {
-		c.reserved = c.reserved.Add(r.stage.step.Reservation())
-		r.stage.reserved = append(r.stage.reserved, c.worker)
+	p.loop.log.Record(anvilevent.ReservationLapsed, "step", r.stage.name(), "expected", int64(kept.startAt-p.now))
+	p.loop.meter.Count("reservation.lapsed")
+	kept.startAt, kept.pausedUntil = 0, p.now+reservationPause
+	return true
+}
+
+// addReservation reserves capacity for a task of a stage at each of some workers. It does nothing and returns false when one of
+// them isn't schedulable, or will have the capacity too late.
+func (p *passState) addReservation(r readyStage, workers []*worker) bool {
+	counts := make(map[*worker]int, len(workers))
+	for _, w := range workers {
+		counts[w]++
 	}
+	freeAt := make(map[*worker]anvilclock.Millis, len(counts))
+	startAt := p.now
+	for w, n := range counts {
+		if w.candidate == nil {
+			return false
+		}
+		times := p.freeTimes(w.candidate, r.stage)
+		if len(times) < n || p.tooLate(r, times[n-1]) {
+			return false
+		}
+		freeAt[w] = times[n-1]
+		startAt = max(startAt, times[n-1])
+	}
+	kept := &r.stage.reservation
+	if kept.startAt == 0 {
+		kept.startAt = startAt
+		p.loop.log.Record(anvilevent.CapacityReserved, "step", r.stage.name(), "tasks", len(workers), "expected", int64(startAt-p.now))
+		p.loop.meter.Count("reservation.begun")
+	}
+	kept.workers = workers
+	for w, n := range counts {
+		w.candidate.reservations = append(w.candidate.reservations, reservation{
+			stage: r.stage, priority: r.queue.Priority(), size: r.stage.step.Reservation().Scale(int64(n)), freeAt: freeAt[w],
+			// A task that goes ahead must not delay the stage again and again.
+			startAt: min(startAt, kept.startAt),
+		})
+	}
+	return true
 }
 
-// earliestCandidates returns the candidates that will first have capacity for n tasks of a stage, one for each task;
+// tooLate reports whether a stage that starts at a time is certain to end too late to be of worth.
+func (p *passState) tooLate(r readyStage, at anvilclock.Millis) bool {
+	if r.stage.step.LongRunning() {
+		return at >= p.now+noExpectedEnd
+	}
+	return at > r.urgency.latestStart+(worthlessFactor-1)*r.stage.job.objectiveIn(r.queue)
+}
+
+// earliestWorkers returns the workers that will first have capacity for n tasks of a stage, one entry for each task;
 // nil when fewer than n would fit even if no other task ran. In a queue with advice, only approved workers count.
-func (p *passState) earliestCandidates(r readyStage, n int) []*candidate {
+func (p *passState) earliestWorkers(r readyStage, n int) []*worker {
 	s := r.stage
 	type slot struct {
-		candidate *candidate
-		at        anvilclock.Millis
+		worker *worker
+		at     anvilclock.Millis
 	}
 	var slots []slot
 	for _, c := range p.pool(r.queue.Pool()).candidates {
@@ -84,19 +199,18 @@
 			if limit := s.step.MaxPerWorker(); limit > 0 && i >= limit-s.perWorker[c.worker] {
 				break
 			}
-			slots = append(slots, slot{candidate: c, at: at})
+			slots = append(slots, slot{worker: c.worker, at: at})
 		}
 	}
 	if len(slots) < n {
 		return nil
 	}
 	slices.SortFunc(slots, func(a, b slot) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), strings.Compare(a.candidate.worker.id(), b.candidate.worker.id()))
+		return cmp.Or(cmp.Compare(a.at, b.at), strings.Compare(a.worker.id(), b.worker.id()))
 	})
-	p.reservations++
-	out := make([]*candidate, 0, n)
+	out := make([]*worker, 0, n)
 	for _, earliest := range slots[:n] {
-		out = append(out, earliest.candidate)
+		out = append(out, earliest.worker)
 	}
 	return out
 }
@@ -106,7 +220,7 @@
 func (p *passState) freeTimes(c *candidate, s *stage) []anvilclock.Millis {
 	tasks := c.worker.boundTasks()
 	slices.SortStableFunc(tasks, func(a, b *task) int { return cmp.Compare(a.expectedEnd(p.now), b.expectedEnd(p.now)) })
-	free := c.free()
+	free := c.worker.free().Sub(c.reserved).Sub(c.reservedFrom(s))
 	at := p.now
 	var out []anvilclock.Millis
 	size := s.step.Reservation()
--- /dev/null
+++ b/entry/anvilscheduler/reservebound_test.go
@@ -0,0 +1,129 @@
+package anvilscheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anviljob"
+	"anvilhold.org/lib/anvilpolicy"
+)
+
+// Names of the queues of a waitingGang, the first with the more urgent priority, and the label of its last three workers.
+const (
+	urgentQueue = "urgent"
+	commonQueue = "common"
+	gangLabel   = "b"
+)
+
+// newWaitingGang returns a cluster of 12 workers. A gang waits for the three workers with a label, two of which are empty; on
+// the third, a task runs that blocks it.
+func newWaitingGang(t *testing.T, blocking anviljob.Step) (*fakeCluster, *harness) {
+	t.Helper()
+	objective := anvilpolicy.WithObjective(3, 20_000)
+	fc := newFakeCluster(t, anvilpolicy.New(1, []anvilpolicy.Queue{
+		anvilpolicy.NewQueue(urgentQueue, "h", "/u/", poolName, anvilpolicy.WithPriority(0), objective),
+		anvilpolicy.NewQueue(commonQueue, "h", "/c/", poolName, anvilpolicy.WithPriority(1), objective),
+	}))
+	for i := range 12 {
+		var labels []string
+		if i >= 9 {
+			labels = append(labels, gangLabel)
+		}
+		fc.addWorker(fmt.Sprintf("w%02d", i), core(8), labels...)
+	}
+	h := fc.newHarness("e1")
+	fc.advance(firstClaimTime, h)
+	fc.submit("blocker", commonQueue, "", blocking)
+	fc.advance(reactionTime, h)
+	assertStarted(t, fc, "blocker.0.0.0")
+	fc.submit("gang", commonQueue, "", anviljob.NewStep(3, core(6), anviljob.WithLabel(gangLabel), anviljob.WithGang(true, false),
+		anviljob.WithEstimate(20_000)))
+	fc.advance(reactionTime, h)
+	return fc, h
+}
+
+func blockingStep(estimate anvilclock.Millis) anviljob.Step {
+	return anviljob.NewStep(1, core(5), anviljob.WithLabel(gangLabel), anviljob.WithEstimate(estimate))
+}
+
+func labelledStep(estimate anvilclock.Millis) anviljob.Step {
+	return anviljob.NewStep(1, core(3), anviljob.WithLabel(gangLabel), anviljob.WithEstimate(estimate))
+}
+
+// advanceLate advances the clock while the blocking task reports progress and doesn't end.
+func (fc *fakeCluster) advanceLate(d anvilclock.Millis, h *harness) {
+	for end := fc.clock.Now() + d; fc.clock.Now() < end; {
+		for _, r := range fc.workerOf("blocker.0.0.0").runs {
+			r.percent = min(max(r.percent, 80)+1, 99)
+		}
+		fc.advance(250, h)
+	}
+}
+
+func assertNotStarted(t *testing.T, fc *fakeCluster, task string) {
+	t.Helper()
+	if fc.workerOf(task) != nil {
+		t.Fatalf("task %s runs", task)
+	}
+}
+
+func TestReservationOfWaitingGang(t *testing.T) {
+	t.Run("isn't made where a long-running task stays", func(t *testing.T) {
+		// Guards against jobs that starve beside empty workers, which a gang reserves though it can't start (review case 7).
+		fc, h := newWaitingGang(t, anviljob.NewStep(1, core(5), anviljob.WithLabel(gangLabel), anviljob.WithLongRunning(true)))
+		fc.submit("j1", commonQueue, "", labelledStep(60_000))
+		fc.advance(reactionTime, h)
+		assertStarted(t, fc, "j1.0.0.0")
+	})
+	t.Run("doesn't hold back a more urgent queue", func(t *testing.T) {
+		// Guards against an urgent job that waits for the gang of a queue with a lower priority.
+		fc, h := newWaitingGang(t, blockingStep(10_000))
+		fc.submit("j1", urgentQueue, "", labelledStep(60_000))
+		fc.advance(reactionTime, h)
+		assertStarted(t, fc, "j1.0.0.0")
+	})
+	t.Run("doesn't hold back a long-running task", func(t *testing.T) {
+		// Guards against a long-running task that is away for as long as a gang waits.
+		fc, h := newWaitingGang(t, blockingStep(10_000))
+		fc.submit("j1", commonQueue, "", anviljob.NewStep(1, core(3), anviljob.WithLabel(gangLabel), anviljob.WithLongRunning(true)))
+		fc.advance(reactionTime, h)
+		assertStarted(t, fc, "j1.0.0.0")
+	})
+	t.Run("lets tasks go ahead that end before the gang can start", func(t *testing.T) {
+		// Guards against reserved workers that are idle although short tasks could use them.
+		fc, h := newWaitingGang(t, blockingStep(10_000))
+		fc.submit("j1", commonQueue, "", labelledStep(1000))
+		fc.submit("j2", commonQueue, "", labelledStep(9000))
+		fc.advance(reactionTime, h)
+		assertStarted(t, fc, "j1.0.0.0")
+		assertNotStarted(t, fc, "j2.0.0.0")
+	})
+	t.Run("leaves what the gang doesn't need", func(t *testing.T) {
+		// Guards against a reservation of more than the gang can use, where the end of the blocking task leaves more than it needs.
+		fc, h := newWaitingGang(t, blockingStep(10_000))
+		fc.submit("j1", commonQueue, "", anviljob.NewStep(3, core(2), anviljob.WithLabel(gangLabel), anviljob.WithEstimate(60_000)))
+		fc.advance(reactionTime, h)
+		assertEqual(t, "running tasks", len(fc.running()), 4)
+	})
+	t.Run("lapses when the gang doesn't start as expected", func(t *testing.T) {
+		// Guards against jobs that wait without a bound for a gang whose estimate of its start is wrong.
+		fc, h := newWaitingGang(t, blockingStep(1000))
+		fc.submit("j1", commonQueue, "", labelledStep(60_000))
+		fc.advance(reactionTime, h)
+		assertNotStarted(t, fc, "j1.0.0.0")
+		fc.advanceLate(1000+reservationGrace, h)
+		assertStarted(t, fc, "j1.0.0.0")
+	})
+	t.Run("is made again after a pause", func(t *testing.T) {
+		// Guards against a gang that starves because its reservation has lapsed once.
+		fc, h := newWaitingGang(t, blockingStep(1000))
+		fc.advanceLate(1000+reservationGrace+reservationPause+reactionTime, h)
+		fc.submit("j1", commonQueue, "", labelledStep(60_000))
+		fc.advance(reactionTime, h)
+		assertNotStarted(t, fc, "j1.0.0.0")
+		fc.endRun("blocker.0.0.0", CauseDone, "")
+		fc.advance(reactionTime, h)
+		assertStarted(t, fc, "gang.0.0.2")
+	})
+}
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -228,6 +228,14 @@
 	// reservedPoolDivisor bounds the reservations that are kept from pass to pass: they cover at most one in
 	// reservedPoolDivisor workers of a pool.
 	reservedPoolDivisor = 4
+	// reservationGrace is how long a reservation lasts after the stage should have started by the estimates. Others may find
+	// capacity idle for that long, which is less than the 3 s that a job may have nothing running beside free capacity.
+	reservationGrace = anvilclock.Millis(2500)
+	// reservationPause is how long a stage reserves nothing after its reservation has lapsed. A job of a queue with advice can
+	// get a ticket in that time.
+	reservationPause = anvilclock.Millis(2000)
+	// estimateError is by how much a task may take longer than its estimate, in percent, and still end before a reservation.
+	estimateError = 90
 	// typicalQueryWorkers is the number of workers that an advisor query is assumed to name when its time is added to a
 	// job's objective.
 	typicalQueryWorkers = 30
--- a/entry/anvilscheduler/workload.go
+++ b/entry/anvilscheduler/workload.go
@@ -106,8 +106,8 @@
 	// perWorker counts the tasks that are bound to each worker.
 	perWorker map[*worker]int
 	tickets   tickets
-	// reserved holds the workers on which the stage reserves capacity until the next pass, one entry for each task.
-	reserved []*worker
+	// reservation is of capacity for tasks that can't start yet.
+	reservation stageReservation
 	// failures and lastFailedRun are used for a gang, whose tasks fail together.
 	failures      int
 	lastFailedRun int
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -122,6 +122,8 @@
 	AdviceFailed          ID = 6402
 	PassSummary           ID = 6403
 	PoolSummary           ID = 6404
+	CapacityReserved      ID = 6405
+	ReservationLapsed     ID = 6406
 )
 
 // Events of the configuration, the store and the other systems that the scheduler of jobs depends on,
@@ -238,6 +240,8 @@
 	{AdviceFailed, "advice failed", "A query to the advisor failed or got no answer."},
 	{PassSummary, "pass summary", "Once a second: how many steps wait, and for what."},
 	{PoolSummary, "pool summary", "Once a second: the used and the total capacity of a pool."},
+	{CapacityReserved, "capacity reserved", "A step that can't start yet begins to reserve capacity, with the expected time to its start."},
+	{ReservationLapsed, "reservation lapsed", "A step has not started when it was expected to, and frees what it had reserved for a while."},
 	{PolicyApplied, "policy applied", "A newer configuration of the platform is in force here."},
 	{RowUnreadable, "row unreadable", "A row or entry can't be decoded or encoded and is skipped."},
 	{StoreFailed, "store failed", "A transaction or a read of the store failed."},
