anvilscheduler: end the wait for late acknowledgements with the token

Change: the confirmed token ends the wait. A process whose former one the leader had dropped gets a raised token, too.

--- a/entry/anvilscheduler/fence.go
+++ b/entry/anvilscheduler/fence.go
@@ -32,11 +32,11 @@
 	}
 }
 
-// acceptFence records that the worker has answered an order with a fencing token. A late order may have extended its leases
-// before that.
+// acceptFence records that the worker has answered an order with a fencing token. With the required one, it refuses all orders
+// to its former incarnations from now on. A late order may have extended its leases before that.
 func (w *worker) acceptFence(fence int64) {
 	if w.minFence != 0 && fence >= w.minFence {
-		w.minFence = 0
+		w.minFence, w.formerAckUntil = 0, 0
 		w.recordRestart(w.loop.clock.Now())
 	}
 }
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -77,7 +77,8 @@
 	// still be carried out. ackInFlight means that the hold in flight acknowledges ends.
 	lateAckUntil anvilclock.Millis
 	ackInFlight  bool
-	// formerAckUntil is lateAckUntil of the former incarnation. No starts are sent before it.
+	// formerAckUntil is lateAckUntil of the former incarnation. No starts are sent before it, unless the worker has accepted
+	// minFence.
 	formerAckUntil anvilclock.Millis
 	// holdInFlight means that a hold has no answer yet; lastHold is when the last hold was sent.
 	holdInFlight bool
--- a/entry/anvilscheduler/restart.go
+++ b/entry/anvilscheduler/restart.go
@@ -16,7 +16,7 @@
 }
 
 // awaitsLateAck reports whether an acknowledgement for a former incarnation may still arrive, which would make this one forget the
-// ends of runs before the leader has seen them.
+// ends of runs before the leader has seen them. The worker refuses it once it has accepted a raised token.
 func (w *worker) awaitsLateAck() bool { return w.loop.clock.Now() < w.formerAckUntil }
 
 // startKey identifies a start.
@@ -102,6 +102,9 @@
 	}
 	delete(l.fleet.former, next.id())
 	next.formerAckUntil, next.lateAckUntil = f.worker.lateAckUntil, f.worker.lateAckUntil
+	if next.awaitsLateAck() {
+		l.requireFence(next)
+	}
 	l.stopLateStarts(f.worker, next)
 }
 
