anvilscheduler: begin a job with its first confirmed run

Cause: a job began when its first start was sent, and at a new leader when any choice of a worker was stored. Change: a job begins when a worker confirms a run, by the answer to the start, a report, or an end as done or failed; a gang when all its members are confirmed. A new leader takes the stored state, else what stored runs and reports show.

--- a/entry/anvilscheduler/adopt.go
+++ b/entry/anvilscheduler/adopt.go
@@ -85,6 +85,7 @@
 				l.resumeEnd(j, s.State())
 			}
 		}
+		l.resumeBegin(j)
 		l.resumeFailed(j)
 		l.markReady(j)
 		l.checkFinished(j)
@@ -185,9 +186,6 @@
 		default:
 		}
 	}
-	if len(runs) > 0 && !j.ended() {
-		l.fireJob(j, "begin")
-	}
 }
 
 // attach binds an adopted run to its worker.
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -7,7 +7,6 @@
 	"anvilhold.org/lib/anvilchart"
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilevent"
-	"anvilhold.org/lib/anviljob"
 	"anvilhold.org/lib/anvilpolicy"
 )
 
@@ -19,6 +18,7 @@
 		"note": func(t *task) {
 			t.startedAt = l.clock.Now()
 			l.meter.Observe("task.start", (t.startedAt - t.startSent).Duration())
+			l.confirmRun(t)
 		},
 		"stop":   func(t *task) { l.stopTask(t, l.clock.Now()) },
 		"settle": func(t *task) { t.formerDone = true },
@@ -246,9 +246,6 @@
 		"resumed", t.checkpoint != "")
 	l.meter.Observe("task.wait", (now - t.stage.readyAt).Duration())
 	l.sendStart(t, now)
-	if j := t.stage.job; j.machine.State() == string(anviljob.Queued) {
-		l.fireJob(j, "begin")
-	}
 }
 
 // sendStart sends a start on a traffic goroutine. It may be sent repeatedly, because a worker starts a run only once.
@@ -433,6 +430,7 @@
 	if t.machine.State() == taskStarting {
 		l.fireTask(t, "started")
 	}
+	l.confirmRun(t)
 }
 
 // processRunEnd processes the end of a run that a worker has reported.
@@ -447,6 +445,9 @@
 	if e.checkpoint != "" {
 		t.checkpoint, t.stage.checkpoint = e.checkpoint, e.checkpoint
 	}
+	if e.cause.showsBegin() {
+		l.beginJob(t.stage.job)
+	}
 	if t.run != e.run || t.worker != w {
 		l.processFormerRunEnd(t, e)
 		return
