anvilscheduler: keep reservations short in pools that are mostly free

Cause: a gang behind a task of 30 s held back jobs of over 15 s for over 30 s beside free workers, with good estimates. Change: while under half of a pool is in use, a reservation lapses 2.5 s after it has begun.

--- a/entry/anvilscheduler/reserve.go
+++ b/entry/anvilscheduler/reserve.go
@@ -19,8 +19,9 @@
 type stageReservation struct {
 	// workers are those on which capacity is reserved until the next pass, one entry for each task.
 	workers []*worker
-	// startAt is when the stage was expected to start when it began to reserve; 0 while it hasn't.
+	// startAt is when the stage was expected to start when it began to reserve, at begunAt; 0 while it hasn't.
 	startAt anvilclock.Millis
+	begunAt anvilclock.Millis
 	// pausedUntil is the time before which the stage reserves nothing, because its reservation has lapsed.
 	pausedUntil anvilclock.Millis
 }
@@ -122,10 +123,18 @@
 }
 
 // lapsed ends the reservation of a stage that hasn't started for reservationGrace after it should have, because the estimates of
-// the tasks before it are wrong. Other stages can use the capacity during the pause after that.
+// the tasks before it are wrong. In a pool that is mostly free, it ends reservationGrace after it has begun: other jobs must not wait
+// beside free workers for longer. Other stages can use the capacity during the pause after that.
 func (p *passState) lapsed(r readyStage) bool {
-	kept := &r.stage.reservation
-	if kept.startAt == 0 || p.now < kept.startAt+reservationGrace {
+	kept, snap := &r.stage.reservation, p.pool(r.queue.Pool())
+	if kept.startAt == 0 {
+		return false
+	}
+	end := kept.startAt + reservationGrace
+	if snap.used.Dominant(snap.capacity) < mostlyFreeUse {
+		end = kept.begunAt + reservationGrace
+	}
+	if p.now < end {
 		return false
 	}
 	p.loop.log.Record(anvilevent.ReservationLapsed, "step", r.stage.name(), "expected", int64(kept.startAt-p.now))
@@ -156,7 +165,7 @@
 	}
 	kept := &r.stage.reservation
 	if kept.startAt == 0 {
-		kept.startAt = startAt
+		kept.startAt, kept.begunAt = startAt, p.now
 		p.loop.log.Record(anvilevent.CapacityReserved, "step", r.stage.name(), "tasks", len(workers), "expected", int64(startAt-p.now))
 		p.loop.meter.Count("reservation.begun")
 	}
--- a/entry/anvilscheduler/reservebound_test.go
+++ b/entry/anvilscheduler/reservebound_test.go
@@ -9,11 +9,13 @@
 	"anvilhold.org/lib/anvilpolicy"
 )
 
-// Names of the queues of a waitingGang, the first with the more urgent priority, and the label of its last three workers.
+// Names of the queues of newWaitingGang, the first with the more urgent priority, the label of its last three workers and that of
+// the others.
 const (
 	urgentQueue = "urgent"
 	commonQueue = "common"
 	gangLabel   = "b"
+	otherLabel  = "a"
 )
 
 // newWaitingGang returns a cluster of 12 workers. A gang waits for the three workers with a label, two of which are empty; on
@@ -26,11 +28,11 @@
 		anvilpolicy.NewQueue(commonQueue, "h", "/c/", poolName, anvilpolicy.WithPriority(1), objective),
 	}))
 	for i := range 12 {
-		var labels []string
+		label := otherLabel
 		if i >= 9 {
-			labels = append(labels, gangLabel)
+			label = gangLabel
 		}
-		fc.addWorker(fmt.Sprintf("w%02d", i), core(8), labels...)
+		fc.addWorker(fmt.Sprintf("w%02d", i), core(8), label)
 	}
 	h := fc.newHarness("e1")
 	fc.advance(firstClaimTime, h)
@@ -43,6 +45,12 @@
 	return fc, h
 }
 
+// fillOthers fills workers that the gang can't use, so that over half of the pool is in use.
+func (fc *fakeCluster) fillOthers(h *harness) {
+	fc.submit("others", commonQueue, "", anviljob.NewStep(6, core(8), anviljob.WithLabel(otherLabel), anviljob.WithLongRunning(true)))
+	fc.advance(reactionTime, h)
+}
+
 func blockingStep(estimate anvilclock.Millis) anviljob.Step {
 	return anviljob.NewStep(1, core(5), anviljob.WithLabel(gangLabel), anviljob.WithEstimate(estimate))
 }
@@ -106,9 +114,27 @@
 		fc.advance(reactionTime, h)
 		assertEqual(t, "running tasks", len(fc.running()), 4)
 	})
+	t.Run("lasts until the expected start", func(t *testing.T) {
+		// Guards against a gang that starves because its reservation ends before the tasks that it waits for.
+		fc, h := newWaitingGang(t, blockingStep(10_000))
+		fc.fillOthers(h)
+		fc.submit("j1", commonQueue, "", labelledStep(60_000))
+		fc.advanceLate(2*reservationGrace, h)
+		assertNotStarted(t, fc, "j1.0.0.0")
+	})
+	t.Run("is short where most of the pool is free", func(t *testing.T) {
+		// Guards against a job that has nothing running for over 3 s beside free workers while under half of the pool is in use.
+		fc, h := newWaitingGang(t, blockingStep(30_000))
+		fc.submit("j1", commonQueue, "", labelledStep(60_000))
+		fc.advance(reactionTime, h)
+		assertNotStarted(t, fc, "j1.0.0.0")
+		fc.advance(reservationGrace, h)
+		assertStarted(t, fc, "j1.0.0.0")
+	})
 	t.Run("lapses when the gang doesn't start as expected", func(t *testing.T) {
 		// Guards against jobs that wait without a bound for a gang whose estimate of its start is wrong.
 		fc, h := newWaitingGang(t, blockingStep(1000))
+		fc.fillOthers(h)
 		fc.submit("j1", commonQueue, "", labelledStep(60_000))
 		fc.advance(reactionTime, h)
 		assertNotStarted(t, fc, "j1.0.0.0")
@@ -118,6 +144,7 @@
 	t.Run("is made again after a pause", func(t *testing.T) {
 		// Guards against a gang that starves because its reservation has lapsed once.
 		fc, h := newWaitingGang(t, blockingStep(1000))
+		fc.fillOthers(h)
 		fc.advanceLate(1000+reservationGrace+reservationPause+reactionTime, h)
 		fc.submit("j1", commonQueue, "", labelledStep(60_000))
 		fc.advance(reactionTime, h)
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -231,6 +231,8 @@
 	// reservationGrace is how long a reservation lasts after the stage should have started by the estimates. Others may find
 	// capacity idle for that long, which is less than the 3 s that a job may have nothing running beside free capacity.
 	reservationGrace = anvilclock.Millis(2500)
+	// mostlyFreeUse is the use of a pool, in parts per million, below which a job may not wait beside free capacity for 3 s.
+	mostlyFreeUse = 500_000
 	// reservationPause is how long a stage reserves nothing after its reservation has lapsed. A job of a queue with advice can
 	// get a ticket in that time.
 	reservationPause = anvilclock.Millis(2000)
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -241,7 +241,7 @@
 	{PassSummary, "pass summary", "Once a second: how many steps wait, and for what."},
 	{PoolSummary, "pool summary", "Once a second: the used and the total capacity of a pool."},
 	{CapacityReserved, "capacity reserved", "A step that can't start yet begins to reserve capacity, with the expected time to its start."},
-	{ReservationLapsed, "reservation lapsed", "A step has not started when it was expected to, and frees what it had reserved for a while."},
+	{ReservationLapsed, "reservation lapsed", "A step has not started in time after it began to reserve capacity, and reserves nothing for a while."},
 	{PolicyApplied, "policy applied", "A newer configuration of the platform is in force here."},
 	{RowUnreadable, "row unreadable", "A row or entry can't be decoded or encoded and is skipped."},
 	{StoreFailed, "store failed", "A transaction or a read of the store failed."},
