--- a/entry/anvilscheduler/poolsnapshot.go
+++ b/entry/anvilscheduler/poolsnapshot.go
@@ -47,7 +47,6 @@
 type candidate struct {
 	worker *worker
 	index  int
-	now    anvilclock.Millis
 	// freeCPU is the CPU in millicores that was free when the pass began. It is an upper bound: free CPU only shrinks
 	// during a pass.
 	freeCPU int64
@@ -72,7 +71,7 @@
 			continue
 		}
 		free := w.free()
-		w.candidate = &candidate{worker: w, now: p.now, freeCPU: free.CPU()}
+		w.candidate = &candidate{worker: w, freeCPU: free.CPU()}
 		snap.candidates = append(snap.candidates, w.candidate)
 		if w.health.suspect(p.now) {
 			snap.suspects++
--- a/entry/anvilscheduler/reserve.go
+++ b/entry/anvilscheduler/reserve.go
@@ -31,6 +31,8 @@
 	stage    *stage
 	priority int
 	size     anvilsize.Size
+	// now is the time of the pass.
+	now anvilclock.Millis
 	// freeAt is when the candidate will have the capacity, startAt when the stage will start.
 	freeAt  anvilclock.Millis
 	startAt anvilclock.Millis
@@ -38,11 +40,11 @@
 
 // binds reports whether a reservation limits the capacity of a stage. It doesn't limit long-running tasks, which must not be away
 // for as long as others wait, those of a more urgent queue, and tasks that end before it is needed.
-func (r reservation) binds(s *stage, now anvilclock.Millis) bool {
+func (r reservation) binds(s *stage) bool {
 	switch estimate := s.step.Estimate(); {
 	case s.step.LongRunning():
 		return false
-	case estimate > 0 && now+estimate*(100+estimateError)/100 <= r.startAt:
+	case estimate > 0 && r.now+estimate*(100+estimateError)/100 <= r.startAt:
 		return false
 	}
 	q, ok := s.job.loop.queueOf(s.job)
@@ -59,12 +61,12 @@
 	available, reserved := free, anvilsize.Size{}
 	for _, r := range c.reservations {
 		reserved = reserved.Add(r.size)
-		if !r.binds(s, c.now) {
+		if !r.binds(s) {
 			continue
 		}
 		left := free.Sub(reserved)
 		for t := range c.worker.tasks {
-			if t.expectedEnd(c.now) <= r.freeAt {
+			if t.expectedEnd(r.now) <= r.freeAt {
 				left = left.Add(t.stage.step.Reservation())
 			}
 		}
@@ -77,7 +79,7 @@
 func (c *candidate) reservedFrom(s *stage) anvilsize.Size {
 	var sum anvilsize.Size
 	for _, r := range c.reservations {
-		if r.binds(s, c.now) {
+		if r.binds(s) {
 			sum = sum.Add(r.size)
 		}
 	}
@@ -172,7 +174,8 @@
 	kept.workers = workers
 	for w, n := range counts {
 		w.candidate.reservations = append(w.candidate.reservations, reservation{
-			stage: r.stage, priority: r.queue.Priority(), size: r.stage.step.Reservation().Scale(int64(n)), freeAt: freeAt[w],
+			stage: r.stage, priority: r.queue.Priority(), size: r.stage.step.Reservation().Scale(int64(n)), now: p.now,
+			freeAt: freeAt[w],
 			// A task that goes ahead must not delay the stage again and again.
 			startAt: min(startAt, kept.startAt),
 		})
