anvilscheduler: check each attempt of a start when it is sent

A pass checks labels, pool, capacity, draining and the team's maximum when it chooses a worker. The start is sent later, and sent again until it is answered; nothing looked again.

What no longer holds is unbound, once a stop is confirmed if an attempt is open. Moving the tasks of a restarted worker no longer moves a task of a gang that a member's refusal has unbound.

--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -44,6 +44,8 @@
 	// once it has.
 	fence, minFence int64
 	machine         anvilchart.Machine
+	// entryUnread means that no entry of this incarnation was read yet: its pool, labels and capacity are those of the former one.
+	entryUnread bool
 	// tasks holds the tasks that are bound to the worker, used is the sum of their reservations.
 	used  anvilsize.Size
 	tasks map[*task]bool
@@ -72,7 +74,7 @@
 	unverified map[startKey]anvilclock.Millis
 	// lateStarts holds starts of which an attempt has no answer, with the time when it was sent or timed out: the attempt may
 	// arrive later, also at the next incarnation.
-	lateStarts map[startKey]anvilclock.Millis
+	lateStarts map[startKey]lateStart
 	// lateAckUntil is the local time until which an acknowledgement that timed out, or was meant for a former incarnation, may
 	// still be carried out. ackInFlight means that the hold in flight acknowledges ends.
 	lateAckUntil anvilclock.Millis
@@ -114,7 +116,7 @@
 // backoff.
 func (w *worker) schedulable(now anvilclock.Millis) bool {
 	return w.machine.State() == workerReady && !w.registration.draining && now >= w.backoffUntil && w.failures == 0 &&
-		!w.awaitsLateAck() && !w.leasesBounded() && w.minFence == 0 &&
+		!w.awaitsLateAck() && !w.leasesBounded() && w.minFence == 0 && !w.entryUnread &&
 		(w.deregisteredAt == 0 || (w.lastReply > w.deregisteredAt && now-w.deregisteredAt < deregistrationGrace))
 }
 
@@ -245,7 +247,7 @@
 	now := l.clock.Now()
 	w := &worker{
 		loop: l, registration: reg, fence: l.leadership.token, machine: l.charts.worker.NewMachine(), tasks: map[*task]bool{},
-		unverified: map[startKey]anvilclock.Millis{}, lateStarts: map[startKey]anvilclock.Millis{},
+		unverified: map[startKey]anvilclock.Millis{}, lateStarts: map[startKey]lateStart{},
 	}
 	w.leaseExpiry = l.extendedUntil(now) + l.leaseExpiryAfter(l.grantedLease())
 	l.fleet.byID[reg.id] = w
@@ -284,7 +286,7 @@
 		return
 	}
 	if w != nil && w.registration.incarnation != reg.incarnation && w.registration.incarnation != 0 {
-		l.replaceIncarnation(w, reg)
+		l.replaceIncarnation(w, reg, false)
 		return
 	}
 	if w == nil {
@@ -309,7 +311,7 @@
 		l.removeFromPool(w)
 		l.fleet.pools[reg.pool] = append(l.fleet.pools[reg.pool], w)
 	}
-	w.registration = reg
+	w.registration, w.entryUnread = reg, false
 }
 
 // applyDeregistration records that a worker is no longer registered. It may still run, and be partitioned from the
--- a/entry/anvilscheduler/harness_test.go
+++ b/entry/anvilscheduler/harness_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strings"
 	"testing"
-	"time"
 
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilclock"
@@ -261,8 +260,6 @@
 		fc.t.Fatal(err)
 	}
 	l.spawn = func(f func()) { f() }
-	// A second attempt would run beside the first one when the machine stalls.
-	l.secondStartDelay = time.Hour
 	return &harness{cluster: fc, loop: l}
 }
 
--- a/entry/anvilscheduler/hedge.go
+++ b/entry/anvilscheduler/hedge.go
@@ -1,42 +1,69 @@
 package anvilscheduler
 
 import (
-	"context"
-	"time"
+	"maps"
 
 	"anvilhold.org/lib/anvilclock"
 )
 
-// startAnswer is the answer to a start.
-type startAnswer struct {
-	clock anvilclock.Millis
-	err   error
-	// unanswered means that an attempt got no answer, so the worker may still carry it out.
-	unanswered bool
-}
-
-// startTwice sends a start, and once more when no answer has come for a delay: a worker may leave an order unanswered and
-// carry it out seconds later. It carries out a run's start only once, whichever order comes first. It returns the first
-// answer, and an error only when both attempts failed or the first one failed before the delay.
-func startTwice(ctx context.Context, w Workers, to Target, o StartOrder, delay time.Duration) startAnswer {
-	answers := make(chan startAnswer, 2)
-	send := func() {
-		clock, err := w.Start(ctx, to, o)
-		answers <- startAnswer{clock: clock, err: err, unanswered: err != nil && asOrderError(err).fault == FaultNoReply}
-	}
-	go send()
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case a := <-answers:
-		return a
-	case <-timer.C:
-	}
-	go send()
-	a := <-answers
-	if a.unanswered {
-		a = <-answers
+// A start is sent a second time when no answer has come for secondStartDelay: a worker may leave an order unanswered and carry
+// it out seconds later. It carries out a run's start only once, whichever attempt comes first. An answer to one attempt says
+// nothing about the other one, which may arrive after the run has ended.
+
+// startAttempts is the state of the newest start of a run, which is settled by the first answer, or when no attempt got one.
+type startAttempts struct {
+	// round numbers the starts of the run. Answers to earlier ones don't settle the present one.
+	round     int
+	inFlight  int
+	sent      int
+	firstSent anvilclock.Millis
+}
+
+func (a *startAttempts) begin(now anvilclock.Millis) {
+	*a = startAttempts{round: a.round + 1, firstSent: now}
+}
+
+func (a *startAttempts) settle() { *a = startAttempts{round: a.round + 1} }
+
+// secondDue reports whether the first attempt has had no answer for long enough to send another one.
+func (a *startAttempts) secondDue(now anvilclock.Millis) bool {
+	return a.sent == 1 && a.inFlight == 1 && now-a.firstSent >= secondStartDelay
+}
+
+// timeout returns how long an attempt that is sent now may take: all attempts of a start end at the same time.
+func (a *startAttempts) timeout(now anvilclock.Millis) anvilclock.Millis {
+	return orderTimeout - (now - a.firstSent)
+}
+
+// lateStart counts the attempts of a run's start without an answer, the newest of which was sent or timed out at a local time.
+type lateStart struct {
+	open int
+	at   anvilclock.Millis
+}
+
+// recordAttempt records that an attempt of a start is being sent.
+func (w *worker) recordAttempt(key startKey, now anvilclock.Millis) {
+	maps.DeleteFunc(w.lateStarts, func(_ startKey, s lateStart) bool { return now-s.at >= lateOrderWindow })
+	w.lateStarts[key] = lateStart{open: w.lateStarts[key].open + 1, at: now}
+}
+
+// recordNoAnswer records that an attempt got no answer.
+func (w *worker) recordNoAnswer(key startKey, now anvilclock.Millis) {
+	w.lateStarts[key] = lateStart{open: max(w.lateStarts[key].open, 1), at: now}
+}
+
+// recordAnswer records that an attempt was answered, so that it won't arrive any more.
+func (w *worker) recordAnswer(key startKey) {
+	s, ok := w.lateStarts[key]
+	if s.open--; ok && s.open > 0 {
+		w.lateStarts[key] = s
+		return
 	}
-	a.unanswered = true
-	return a
+	delete(w.lateStarts, key)
+}
+
+// startMayArrive reports whether an attempt to start the task's run may still arrive at the worker to which it is bound.
+func (t *task) startMayArrive(now anvilclock.Millis) bool {
+	s, ok := t.worker.lateStarts[startKey{t, t.run}]
+	return t.unconfirmed || (ok && now-s.at < lateOrderWindow)
 }
--- a/entry/anvilscheduler/hold.go
+++ b/entry/anvilscheduler/hold.go
@@ -149,8 +149,8 @@
 	w.recordReply(m.report.clock, now)
 	w.sentAck = max(w.sentAck, m.acked)
 	if w.registration.incarnation != 0 && m.report.incarnation != 0 && m.report.incarnation != w.registration.incarnation {
-		// The registry shows the newer incarnation and its capacity a little later.
-		l.replaceIncarnation(w, w.registration.WithIncarnation(m.report.incarnation))
+		// The registry shows the newer incarnation, its labels and its capacity a little later.
+		l.replaceIncarnation(w, w.registration.WithIncarnation(m.report.incarnation), true)
 		return
 	}
 	w.verifyStarts(m.sent)
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -112,9 +112,6 @@
 	spawn func(func())
 	// after calls a function on another goroutine once d has passed.
 	after func(d anvilclock.Millis, f func())
-	// secondStartDelay is how long a start may stay unanswered before it is sent a second time. Tests whose clock doesn't run
-	// set it to more than the machine may stall.
-	secondStartDelay time.Duration
 	// watching is set by Run, which follows the tables. Tests that don't call Run post the changes instead.
 	watching bool
 	// shutdownDone is closed once the leadership is released; nil when no shutdown is in progress.
@@ -203,8 +200,7 @@
 		pollRequests: make(chan struct{}, 1),
 		peersKnown:   make(chan struct{}),
 
-		secondStartDelay: secondStartDelay.Duration(),
-		limits:           leaseLimits{maxLease: defaultMaxLease, stopGrace: defaultStopGrace},
+		limits: leaseLimits{maxLease: defaultMaxLease, stopGrace: defaultStopGrace},
 	}
 	l.state.partitionDetected = make(chan struct{})
 	l.state.connectivity = NewConnectivity(false, l.state.partitionDetected)
--- a/entry/anvilscheduler/messages.go
+++ b/entry/anvilscheduler/messages.go
@@ -98,17 +98,20 @@
 	err        error
 }
 
-// startAnswered is the result of a start with a fencing token, which was sent at a local time when the worker's clock could show earliestClock at
-// the earliest. The clock of the answer is the worker's, 0 without an answer.
+// startAnswered is the result of an attempt of a start with a fencing token, which was sent at a local time when the worker's clock
+// could show earliestClock at the earliest, and ended after timeout without an answer. The clock is the worker's, 0 without an answer.
 type startAnswered struct {
 	token         int64
 	fence         int64
 	worker        *worker
 	task          *task
 	run           int
+	round         int
 	sent          anvilclock.Millis
+	timeout       anvilclock.Millis
 	earliestClock anvilclock.Millis
-	startAnswer
+	clock         anvilclock.Millis
+	err           error
 }
 
 // stopAnswered is the result of a stop. The task is nil if the run was bound to none.
--- a/entry/anvilscheduler/restart.go
+++ b/entry/anvilscheduler/restart.go
@@ -48,29 +48,39 @@
 
 // replaceIncarnation replaces an incarnation of a worker by a newer one under the same id. The newer one knows none of
 // the earlier runs, but may have received a start that was meant for the earlier incarnation. So the runs stay bound
-// until the newer incarnation has reported what runs there.
-func (l *Loop) replaceIncarnation(w *worker, reg Registration) {
-	tasks := w.boundTasks()
+// until the newer incarnation has reported what runs there. With entryUnread, only a report has shown the newer one.
+func (l *Loop) replaceIncarnation(w *worker, reg Registration, entryUnread bool) {
+	tasks, now := w.boundTasks(), l.clock.Now()
+	late := make(map[*task]bool, len(tasks))
 	for _, t := range tasks {
+		late[t] = t.startMayArrive(now)
 		l.deallocate(t)
 	}
 	l.endIncarnation(w, "restarted", len(tasks))
 	next := l.addWorker(reg)
+	next.entryUnread = entryUnread
 	next.formerIncarnation = w.registration.incarnation
-	next.recordRestart(l.clock.Now())
+	next.recordRestart(now)
 	l.requireFence(next)
 	for _, t := range tasks {
-		l.rebind(t, next)
+		t.worker, t.incarnation = next, next.registration.incarnation
+		t.allocate()
+	}
+	for _, t := range tasks {
+		// The end of a gang's member may have unbound the others.
+		if t.worker == next {
+			l.rebind(t, late[t])
+		}
 	}
 	if l.leading() {
-		l.holdIfDue(next, l.clock.Now())
+		l.holdIfDue(next, now)
 	}
 }
 
-// rebind binds a task to the newer incarnation of its worker.
-func (l *Loop) rebind(t *task, next *worker) {
-	t.worker, t.incarnation = next, next.registration.incarnation
-	t.allocate()
+// rebind continues a task that was moved to the newer incarnation of its worker; late means that a start of its run may still
+// arrive there.
+func (l *Loop) rebind(t *task, late bool) {
+	next := t.worker
 	switch t.machine.State() {
 	case taskPlaced:
 		if next.awaitsLateAck() {
@@ -83,9 +93,10 @@
 			break
 		}
 		// The start is sent again. If the run is there already, the worker confirms it.
-		t.startInFlight, t.unconfirmed, t.confirmedAt = false, true, 0
+		t.attempts.settle()
+		t.unconfirmed, t.confirmedAt = true, 0
 	default:
-		if t.unconfirmed || t.startInFlight {
+		if late {
 			l.stopLateStart(t)
 			break
 		}
@@ -109,20 +120,17 @@
 // were still bound to the worker are left to rebind.
 func (l *Loop) stopLateStarts(w, next *worker) {
 	now := l.clock.Now()
-	for key, at := range w.lateStarts {
-		bound := key.task.worker == w && key.task.run == key.run
-		if now-at < lateOrderWindow && !bound {
+	for key, s := range w.lateStarts {
+		if now-s.at >= lateOrderWindow {
+			continue
+		}
+		next.lateStarts[key] = s
+		if bound := key.task.worker == w && key.task.run == key.run; !bound {
 			l.sendStop(next, nil, StopOrder{task: key.task.id, run: key.run, token: next.fence}, now)
 		}
 	}
 }
 
-// recordLateStart records that an attempt of a start has no answer.
-func (w *worker) recordLateStart(key startKey, now anvilclock.Millis) {
-	maps.DeleteFunc(w.lateStarts, func(_ startKey, at anvilclock.Millis) bool { return now-at >= lateOrderWindow })
-	w.lateStarts[key] = now
-}
-
 // stopLateStart stops a run whose start may still arrive at the worker, because an attempt of it got no answer. The worker
 // refuses the start once it has confirmed the stop; a report without the run alone wouldn't show that the run has ended.
 func (l *Loop) stopLateStart(t *task) {
--- a/entry/anvilscheduler/simulation_loop_test.go
+++ b/entry/anvilscheduler/simulation_loop_test.go
@@ -320,65 +320,17 @@
 	}
 }
 
-// playStart sends a start, and a second time if it has no answer after secondStartDelay.
+// playStart sends an attempt of a start.
 func (l *simLoop) playStart(m startAnswered, to Target, o StartOrder) {
-	settled, failed, key := false, 0, fmt.Sprint(l.name, "start", to, o.Task(), o.Run())
-	var first startAnswer
-	exec := func(p *simProcess, how string, reply func(any, error)) {
+	key := fmt.Sprint(l.name, "start", to, o.Task(), o.Run(), "/", m.round, m.sent)
+	l.transmit(to, m.worker.registration.incarnation, key, m.timeout, func(p *simProcess, how string, reply func(any, error)) {
 		err := p.start(o, how)
 		reply(p.clock(), err)
-	}
-	answer := func(a startAnswer) {
-		settled = true
-		m.startAnswer = a
+	}, func(v any, err error) {
+		m.clock, _ = v.(anvilclock.Millis)
+		m.err = err
 		l.receive(m)
-	}
-	result := func(v any, err error) startAnswer {
-		clock, _ := v.(anvilclock.Millis)
-		return startAnswer{clock: clock, err: err, unanswered: err != nil && asOrderError(err).fault == FaultNoReply}
-	}
-	second := false
-	l.transmit(to, m.worker.registration.incarnation, key+"/1", orderTimeout, exec, func(v any, err error) {
-		first = result(v, err)
-		first.unanswered = first.unanswered || second
-		if settled {
-			return
-		}
-		if second && asOrderErrorOrNil(err) == FaultNoReply {
-			failed++
-			if failed < 2 {
-				return
-			}
-		}
-		answer(first)
 	})
-	l.sim.after(secondStartDelay, key, func() {
-		if settled || l.dead {
-			return
-		}
-		second = true
-		l.transmit(to, m.worker.registration.incarnation, key+"/2", orderTimeout-secondStartDelay, exec, func(v any, err error) {
-			if settled {
-				return
-			}
-			a := result(v, err)
-			a.unanswered = true
-			if asOrderErrorOrNil(err) == FaultNoReply {
-				failed++
-				if failed < 2 {
-					return
-				}
-			}
-			answer(a)
-		})
-	})
-}
-
-func asOrderErrorOrNil(err error) Fault {
-	if err == nil {
-		return ""
-	}
-	return asOrderError(err).fault
 }
 
 func (l *simLoop) step() {
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -100,7 +100,8 @@
 		l.markRunChanged(t)
 	}
 	t.startSent, t.confirmedAt, t.percent, t.load, t.pace, t.paceInFlight = 0, 0, 0, 0, 100, false
-	t.startInFlight, t.unconfirmed, t.lastStart = false, false, 0
+	t.attempts.settle()
+	t.unconfirmed, t.lastStart = false, 0
 	t.lastProgress = l.clock.Now()
 	t.allocate()
 	s.waiting--
@@ -205,35 +206,6 @@
 	l.fireJob(t.stage.job, "fail")
 }
 
-// sendBound sends the starts of bindings that a commit has stored.
-func (l *Loop) sendBound(bindings []binding) {
-	now := l.clock.Now()
-	valid := l.leadershipValid(now)
-	for _, b := range bindings {
-		if b.task.run != b.run || b.task.machine.State() != taskPlaced {
-			continue
-		}
-		if w := b.task.worker; w.awaitsLateAck() || w.leasesBounded() || w.minFence != 0 || w.failures >= unresponsiveAfter {
-			l.fireTask(b.task, "refused")
-			continue
-		}
-		if u := b.task.ticket.validUntil; u != 0 && u < now+ticketSendMargin {
-			// The ticket expired while the binding was being stored, or is about to expire.
-			l.meter.Count("ticket.lapsed")
-			l.fireTask(b.task, "refused")
-			continue
-		}
-		if valid {
-			l.fireTask(b.task, "committed")
-			continue
-		}
-		// Another instance may have claimed the leadership. The next commit shows that; its success allows the start.
-		j := b.task.stage.job
-		j.unstoredBindings = append(j.unstoredBindings, b.task)
-		l.markRunChanged(b.task)
-	}
-}
-
 // sendFirst sends the first start of a run. An adopted run gets none, because a former leader has started it.
 func (l *Loop) sendFirst(t *task) {
 	if t.adoptedFrom != "" {
@@ -251,27 +223,37 @@
 	}
 }
 
-// sendStart sends a start on a traffic goroutine. It may be sent repeatedly, because a worker starts a run only once.
+// sendStart sends a start. It may be sent repeatedly, because a worker starts a run only once.
 func (l *Loop) sendStart(t *task, now anvilclock.Millis) {
-	w := t.worker
+	t.attempts.begin(now)
+	l.sendAttempt(t, now)
+	t.confirmedAt = 0
+}
+
+// sendAttempt sends one attempt of a start on a traffic goroutine.
+func (l *Loop) sendAttempt(t *task, now anvilclock.Millis) {
+	w, key := t.worker, startKey{t, t.run}
 	o := StartOrder{
 		task: t.id, run: t.run, payload: t.stage.job.sub.Spec().Payload(), token: w.fence,
 		until: w.leaseUntil(now), checkpoint: t.resumeFrom(), ticket: t.ticket.text,
 	}
 	w.extendLease(now)
 	t.lastProgress, t.lastStart = now, now
-	w.unverified[startKey{t, t.run}] = now
-	w.recordLateStart(startKey{t, t.run}, now)
-	m := startAnswered{token: l.leadership.token, fence: o.token, worker: w, task: t, run: t.run, sent: now, earliestClock: w.earliestClock(now)}
-	ctx, workers, to, delay := l.leadershipContext(), l.workers, w.target(), l.secondStartDelay
+	t.attempts.sent++
+	t.attempts.inFlight++
+	w.unverified[key] = now
+	w.recordAttempt(key, now)
+	m := startAnswered{
+		token: l.leadership.token, fence: o.token, worker: w, task: t, run: t.run, round: t.attempts.round, sent: now,
+		timeout: t.attempts.timeout(now), earliestClock: w.earliestClock(now),
+	}
+	ctx, workers, to := l.leadershipContext(), l.workers, w.target()
 	l.spawn(func() {
-		ctx, cancel := withTimeout(ctx, orderTimeout)
+		ctx, cancel := withTimeout(ctx, m.timeout)
 		defer cancel()
-		m.startAnswer = startTwice(ctx, workers, to, o, delay)
+		m.clock, m.err = workers.Start(ctx, to, o)
 		l.post(m)
 	})
-	t.confirmedAt = 0
-	t.startInFlight = true
 }
 
 // unansweredExpiry returns the local time until which the run may last although the worker's leases have expired: the worker
@@ -301,16 +283,16 @@
 	if verified {
 		delete(w.unverified, key)
 	}
-	if m.unanswered {
-		w.recordLateStart(key, now)
-	} else if t.run == m.run && !t.unconfirmed {
-		delete(w.lateStarts, key)
+	if m.unanswered() {
+		w.recordNoAnswer(key, now)
+	} else {
+		w.recordAnswer(key)
 	}
 	if t.worker != w || t.run != m.run {
 		return
 	}
-	t.startInFlight = false
 	if m.err == nil {
+		t.attempts.settle()
 		w.failures = 0
 		if verified {
 			t.lastStart = 0
@@ -318,16 +300,21 @@
 			w.recordRestart(m.sent)
 		}
 		w.recordReply(m.clock, now)
-		t.unconfirmed = t.unconfirmed || m.unanswered
 		t.confirmedAt = now
 		l.fireTask(t, "started")
 		l.holdIfDue(w, now)
 		return
 	}
+	if m.round != t.attempts.round {
+		return
+	}
+	if t.attempts.inFlight--; m.unanswered() && t.attempts.inFlight > 0 {
+		return
+	}
+	t.attempts.settle()
 	e := asOrderError(m.err)
 	l.log.Record(anvilevent.StartRefused, "task", t.id.String(), "run", t.run, "worker", w.id(), "fault", string(e.fault), "error", e.Error())
 	l.meter.Count("start." + string(e.fault))
-	t.unconfirmed = t.unconfirmed || m.unanswered
 	l.handleOrderError(w, m.fence, m.err, now)
 	if t.worker != w || t.run != m.run || t.machine.State() != taskStarting {
 		return
@@ -359,17 +346,27 @@
 		return m.clock >= m.earliestClock
 	}
 	e := asOrderError(m.err)
-	return !m.unanswered && (e.clock == 0 || e.clock >= m.earliestClock)
+	return !m.unanswered() && (e.clock == 0 || e.clock >= m.earliestClock)
+}
+
+// unanswered reports whether the attempt got no answer, so that the worker may still carry it out.
+func (m startAnswered) unanswered() bool {
+	return m.err != nil && asOrderError(m.err).fault == FaultNoReply
 }
 
-// refuseStart unbinds a task whose start was refused. When an earlier attempt got no answer, the worker may still
-// process that attempt, so the run has to be stopped first.
+// refuseStart unbinds a task whose start was refused.
 func (l *Loop) refuseStart(t *task, f Fault) {
 	if f == FaultTicket {
 		t.stage.tickets.invalidate(t.worker)
 	}
 	t.avoidWorker = t.worker
-	if t.unconfirmed {
+	l.withdrawStart(t)
+}
+
+// withdrawStart unbinds a task whose start is not sent again. When an attempt got no answer, the worker may still process it,
+// so the run has to be stopped first.
+func (l *Loop) withdrawStart(t *task) {
+	if t.startMayArrive(l.clock.Now()) {
 		l.fireTask(t, "halt")
 		return
 	}
--- a/entry/anvilscheduler/workload.go
+++ b/entry/anvilscheduler/workload.go
@@ -153,10 +153,10 @@
 	// pace is the share of its speed, in percent, at which the task may work.
 	pace         int
 	paceInFlight bool
-	// startInFlight means that a start has no answer yet, unconfirmed that an earlier start of the run got none and may
-	// have been carried out.
-	startInFlight bool
-	unconfirmed   bool
+	// attempts is the state of the newest start. unconfirmed means that an attempt to start the run at a former process of the
+	// worker may not have arrived yet.
+	attempts    startAttempts
+	unconfirmed bool
 	// lastStart is when the newest start was sent; 0 once an answer has shown that no incarnation of the worker which the
 	// leader doesn't know can have carried it out.
 	lastStart anvilclock.Millis
@@ -371,13 +371,10 @@
 	}
 	for _, w := range l.fleet.byID {
 		for t := range w.tasks {
-			switch {
-			case t.machine.State() == taskStopping && now-t.stopSent >= stopRetryDelay && w.machine.State() == workerReady:
+			if t.machine.State() == taskStopping && now-t.stopSent >= stopRetryDelay && w.machine.State() == workerReady {
 				l.stopTask(t, now)
-			case t.machine.State() == taskStarting && t.adoptedFrom == "" && !t.startInFlight && t.confirmedAt == 0 &&
-				now-t.lastProgress >= orderRetryDelay && w.machine.State() == workerReady && !w.leasesBounded() && w.minFence == 0 && l.leadershipValid(now):
-				l.sendStart(t, now)
 			}
+			l.repeatStart(t, now)
 		}
 	}
 }
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -118,6 +118,7 @@
 	RunPaced              ID = 6308
 	RunMoved              ID = 6309
 	TaskAttemptsExhausted ID = 6310
+	StartWithheld         ID = 6311
 	AdviceGiven           ID = 6401
 	AdviceFailed          ID = 6402
 	PassSummary           ID = 6403
@@ -234,6 +235,7 @@
 	{RunPaced, "run paced", "An opportunistic task is throttled or resumed because of a serving task."},
 	{RunMoved, "run moved", "A run is stopped because its worker will leave before the run ends."},
 	{TaskAttemptsExhausted, "task spent", "A task has failed as often as its queue allows."},
+	{StartWithheld, "start withheld", "A start is not sent, because its worker can't be used for the task any more."},
 	{AdviceGiven, "advice given", "The advisor has answered which workers may run a step."},
 	{AdviceFailed, "advice failed", "A query to the advisor failed or got no answer."},
 	{PassSummary, "pass summary", "Once a second: how many steps wait, and for what."},
