anvilscheduler: give a worker's next process the newest stored token

The leader raises its token for a worker that restarts under its id, and only that worker's orders carried the raised one. A worker taken for new got the first token again. If its process had accepted the raised one before the leader knew of another restart, it refused the leader's orders as fenced, and the leader stepped down because of its own token.

Orders to a worker carry at least the newest token that is stored.

TestRaisedTokenAfterSecondRestart failed before.

--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -246,7 +246,7 @@
 func (l *Loop) newWorker(reg Registration) *worker {
 	now := l.clock.Now()
 	w := &worker{
-		loop: l, registration: reg, fence: l.leadership.token, machine: l.charts.worker.NewMachine(), tasks: map[*task]bool{},
+		loop: l, registration: reg, fence: l.leadership.fence, machine: l.charts.worker.NewMachine(), tasks: map[*task]bool{},
 		unverified: map[startKey]anvilclock.Millis{}, lateStarts: map[startKey]lateStart{},
 	}
 	w.leaseExpiry = l.extendedUntil(now) + l.leaseExpiryAfter(l.grantedLease())
--- a/entry/anvilscheduler/restart_test.go
+++ b/entry/anvilscheduler/restart_test.go
@@ -126,3 +126,21 @@
 		}
 	}
 }
+
+// Guards against a leader that steps down because of its own token: a worker's process has accepted a raised one, and gets orders
+// with a lower one after the leader has taken it for new.
+func TestRaisedTokenAfterSecondRestart(t *testing.T) {
+	fc, h := started(t, "w1")
+	fw := fc.workers["w1"]
+	fc.restartWorker("w1")
+	fc.advance(reactionTime, h)
+	assertEqual(t, "the worker has a raised token", fw.token > h.loop.leadership.token, true)
+	fw.restart()
+	fc.submit("j1", plainQueue, teamName, anviljob.NewStep(1, core(1), anviljob.WithEstimate(60_000)))
+	fc.advance(50, h)
+	assertRunning(t, fc, "j1.0.0.0")
+	fc.showRestart()
+	fc.advance(reactionTime, h)
+	assertEqual(t, "still leading under the first token", h.loop.leading() && h.loop.leadership.token == 1, true)
+	assertRunning(t, fc, "j1.0.0.0")
+}
