anvilscheduler: ask workers where the start of an ended run may still arrive

An answer to the second attempt of a start settled the first one, too. Idle workers are asked every 25 s, so the leader didn't know of the restart.

Attempts without an answer count as open for 12 s, also over restarts, and those of adopted runs from the takeover. While one belongs to a run that isn't bound to the worker any more, the worker is asked every 200 ms, and its next process gets a stop of the run with its first answer.

TestOpenStartAfterSuccess (4 cases), TestOpenStartOfFormerLeader and TestLateAckAfterUnknownRestart failed before.

--- a/entry/anvilscheduler/adopt.go
+++ b/entry/anvilscheduler/adopt.go
@@ -205,4 +205,5 @@
 	l.fireTask(t, "committed")
 	// The former leader may not have got an answer to the start.
 	t.lastStart = l.extendedUntil(l.clock.Now())
+	w.recordNoAnswer(startKey{t, t.run}, l.clock.Now())
 }
--- a/entry/anvilscheduler/dispatch.go
+++ b/entry/anvilscheduler/dispatch.go
@@ -132,4 +132,7 @@
 func (l *Loop) recordWithheld(t *task, reason string) {
 	l.log.Record(anvilevent.StartWithheld, "task", t.id.String(), "run", t.run, "worker", t.worker.id(), "reason", reason)
 	l.meter.Count("start.withheld." + reason)
+	if reason == refusalTicket {
+		l.meter.Count("ticket.lapsed")
+	}
 }
--- /dev/null
+++ b/entry/anvilscheduler/exposure.go
@@ -0,0 +1,23 @@
+package anvilscheduler
+
+import "anvilhold.org/lib/anvilclock"
+
+// A start without an answer may be carried out seconds later, also by the next process of the worker, which has no token, run or
+// end by which it could refuse it. If the run has ended meanwhile, the task would start again. So a worker at which such a start may
+// arrive is asked often until it is too late for that: its next process then gets a stop of the run soon after it has started.
+
+// exposed reports whether a start may arrive at the worker although its run isn't bound there any more.
+func (w *worker) exposed(now anvilclock.Millis) bool {
+	for key := range w.lateStarts {
+		if (key.task.worker != w || key.task.run != key.run) && w.startOpen(key, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// startOpen reports whether an attempt of a start has no answer and may still arrive.
+func (w *worker) startOpen(key startKey, now anvilclock.Millis) bool {
+	s, ok := w.lateStarts[key]
+	return ok && now-s.at < lateOrderWindow
+}
--- /dev/null
+++ b/entry/anvilscheduler/exposure_test.go
@@ -0,0 +1,99 @@
+package anvilscheduler
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anviljob"
+)
+
+// completedWithOpenStart returns a cluster in which a run of j1 has ended done at w1, which is idle then, and an attempt of its
+// start that got no answer and is still on its way.
+func completedWithOpenStart(t *testing.T) (*fakeCluster, *harness, StartOrder) {
+	t.Helper()
+	fc, h, late := startedWithoutAnswer(t)
+	fc.endRun("j1.0.0.0", CauseDone, "")
+	fc.advance(reactionTime, h)
+	assertState(t, fc, anviljob.Completed)
+	return fc, h, late
+}
+
+// Guards against a start after the successful end of a run was acknowledged: an attempt without an answer is carried out by the next
+// process of an idle worker, which the registry doesn't show. The cluster fails the test when the task starts.
+func TestOpenStartAfterSuccess(t *testing.T) {
+	for _, after := range []anvilclock.Millis{0, 1000, 2500, 8000} {
+		t.Run(fmt.Sprintf("restart after %s", after), func(t *testing.T) {
+			fc, h, late := completedWithOpenStart(t)
+			fc.advance(after, h)
+			assertEqual(t, "the end is acknowledged", fc.acknowledged[late.task], true)
+			fc.workers["w1"].restart()
+			fc.advance(300, h)
+			if _, err := fc.Start(context.Background(), NewTarget("w1", "w1:1"), late); err == nil {
+				t.Error("the next process carries out the start")
+			}
+		})
+	}
+}
+
+// Guards against the same at a successor, which doesn't know whether the start of a run that it has adopted was answered.
+func TestOpenStartOfFormerLeader(t *testing.T) {
+	fc, h, late := startedWithoutAnswer(t)
+	h.paused = true
+	next := fc.newHarness("e2")
+	fc.advance(takeoverTime, next)
+	assertEqual(t, "the new instance is leader", next.loop.leading(), true)
+	fc.endRun("j1.0.0.0", CauseDone, "")
+	fc.advance(reactionTime, next)
+	assertEqual(t, "the end is acknowledged", fc.acknowledged[late.task], true)
+	fc.workers["w1"].restart()
+	fc.advance(300, next)
+	if _, err := fc.Start(context.Background(), NewTarget("w1", "w1:1"), late); err == nil {
+		t.Error("the next process carries out the start")
+	}
+}
+
+// Guards against holds of all idle workers because of attempts that are answered or over.
+func TestExposedWorkerIsAsked(t *testing.T) {
+	fc, h, _ := completedWithOpenStart(t)
+	w := h.loop.fleet.byID["w1"]
+	assertEqual(t, "exposed after the end", w.exposed(fc.clock.Now()), true)
+	fc.advance(lateOrderWindow, h)
+	assertEqual(t, "exposed in the end", w.exposed(fc.clock.Now()), false)
+	last := w.lastHold
+	fc.advance(2000, h)
+	assertEqual(t, "last hold", w.lastHold, last)
+}
+
+// Guards against an end that the leader never sees: an acknowledgement without an answer, which is meant for the worker's former
+// process, is carried out by the next one after that has run a task. The registry doesn't show the restart.
+func TestLateAckAfterUnknownRestart(t *testing.T) {
+	fc, h := startedWithAck(t)
+	fw, w := fc.workers["w1"], h.loop.fleet.byID["w1"]
+	fc.submit("j1", plainQueue, teamName, anviljob.NewStep(1, core(1)))
+	fc.advance(reactionTime, h)
+	fc.endRun("j1.0.0.0", CauseDone, "")
+	for w.acked == 1 {
+		fc.advance(25, h)
+	}
+	late := HoldOrder{token: w.fence, acked: w.acked}
+	fw.loseHolds = true
+	fc.advance(100, h)
+	fw.loseHolds = false
+	fc.advance(reactionTime, h)
+	assertEqual(t, "confirmed acknowledgement", w.sentAck, 2)
+	fw.restart()
+	w.holdInFlight = true
+	fc.submit("j2", plainQueue, teamName, anviljob.NewStep(1, core(1)))
+	fc.advance(100, h)
+	assertRunning(t, fc, "j2.0.0.0")
+	fc.endRun("j2.0.0.0", CauseDone, "")
+	if _, err := fc.Hold(t.Context(), w.target(), late); err == nil {
+		t.Error("the late acknowledgement is carried out")
+	}
+	w.holdInFlight = false
+	fc.workers["w2"].unreachable = false
+	fc.advance(4*reactionTime, h)
+	assertEqual(t, "state of j2", fc.state("j2"), anviljob.Completed)
+}
--- a/entry/anvilscheduler/hedge.go
+++ b/entry/anvilscheduler/hedge.go
@@ -64,6 +64,5 @@
 
 // startMayArrive reports whether an attempt to start the task's run may still arrive at the worker to which it is bound.
 func (t *task) startMayArrive(now anvilclock.Millis) bool {
-	s, ok := t.worker.lateStarts[startKey{t, t.run}]
-	return t.unconfirmed || (ok && now-s.at < lateOrderWindow)
+	return t.unconfirmed || t.worker.startOpen(startKey{t, t.run}, now)
 }
--- a/entry/anvilscheduler/hold.go
+++ b/entry/anvilscheduler/hold.go
@@ -14,7 +14,7 @@
 	if w.holdInFlight || w.registration.addr == "" || !l.mayOrder(now) || now-w.lastHold < minHoldInterval {
 		return
 	}
-	o := HoldOrder{token: w.fence}
+	o, exposed := HoldOrder{token: w.fence}, w.exposed(now)
 	if w.acked > w.sentAck && len(w.unverified) == 0 {
 		o.acked = w.acked
 	}
@@ -25,7 +25,11 @@
 		if len(w.tasks) == 0 {
 			limit = maxIdleProbes
 		}
-		if (w.lastHold != 0 && now-w.lastHold < probeInterval) || !l.claimProbe(w, limit) {
+		interval := probeInterval
+		if exposed {
+			interval = exposedHoldInterval
+		}
+		if (w.lastHold != 0 && now-w.lastHold < interval) || !l.claimProbe(w, limit) {
 			return
 		}
 	case w.minFence != 0 && w.fence >= w.minFence:
@@ -39,7 +43,7 @@
 		// The hold acknowledges ends. While tasks run, the same call waits for the next end.
 	case len(w.tasks) == 0:
 		// The reply shows the clock of a worker that may get a start.
-		if w.registration.draining || now-w.lastReply < w.idleReplyAge() || !l.claimProbe(w, maxIdleProbes) {
+		if w.registration.draining || now-w.lastReply < w.idleReplyAge(now) || !l.claimProbe(w, maxIdleProbes) {
 			return
 		}
 	case w.processed > w.acked:
@@ -61,6 +65,8 @@
 		}
 		switch {
 		case w.processed > w.acked || w.leasesBounded():
+		case mayExtend && exposed:
+			o.wait = exposedHoldInterval
 		case mayExtend:
 			o.wait = maxHoldWait
 		default:
@@ -72,10 +78,12 @@
 
 // idleReplyAge returns the age of the last reply after which the idle worker gets a hold. A long-running task must not be
 // started at a worker that is lost, too: it would be away for the leases of both.
-func (w *worker) idleReplyAge() anvilclock.Millis {
+func (w *worker) idleReplyAge(now anvilclock.Millis) anvilclock.Millis {
 	switch {
 	case w.deregisteredAt != 0 && w.lastReply <= w.deregisteredAt:
 		return 0
+	case w.exposed(now):
+		return exposedHoldInterval
 	case w.loop.fleet.losing[w.registration.pool]:
 		return lossReplyAge
 	default:
@@ -140,6 +148,10 @@
 	if m.err != nil {
 		if m.acked > 0 && errors.Is(m.err, context.DeadlineExceeded) {
 			w.lateAckUntil = now + lateOrderWindow
+			if w.machine.State() != workerEnded && m.fence >= w.minFence {
+				// A next process may get a start before the leader knows of it. The start's token then bars the acknowledgement.
+				l.requireFence(w)
+			}
 		}
 		l.handleOrderError(w, m.fence, m.err, now)
 		return
