--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -118,6 +118,7 @@
 	RunPaced              ID = 6308
 	RunMoved              ID = 6309
 	TaskAttemptsExhausted ID = 6310
+	StartWithheld         ID = 6311
 	NearWaitStarted       ID = 6321
 	NearWaitEnded         ID = 6322
 	AdviceGiven           ID = 6401
@@ -238,6 +239,7 @@
 	{RunPaced, "run paced", "An opportunistic task is throttled or resumed because of a serving task."},
 	{RunMoved, "run moved", "A run is stopped because its worker will leave before the run ends."},
 	{TaskAttemptsExhausted, "task spent", "A task has failed as often as its queue allows."},
+	{StartWithheld, "start withheld", "A start is not sent, because its worker can't be used for the task any more."},
 	{NearWaitStarted, "near wait", "A step waits for places near its data or its group, although it could start elsewhere."},
 	{NearWaitEnded, "near wait over", "The step's wait for near places is over."},
 	{AdviceGiven, "advice given", "The advisor has answered which workers may run a step."},
