scheduler: start nothing in evacuated failure domains

Change: the read and the feed of the configuration also return these rows, without further calls. Every instance follows them, so that a new leader knows them. Workers of an evacuated domain aren't schedulable, bindings whose starts haven't been sent are given up, and starts without an answer aren't repeated there. Where the settings have evacuation_ms, starts are held while the last read is older than four fifths of it.

--- a/entry/anvilscheduler/charts.go
+++ b/entry/anvilscheduler/charts.go
@@ -18,15 +18,17 @@
 	worker     *anvilchart.Chart
 	task       *anvilchart.Chart
 	job        *anvilchart.Chart
+	evacuation *anvilchart.Chart
 
 	leadershipBinding *anvilchart.Binding[*Loop]
 	workerBinding     *anvilchart.Binding[*worker]
 	taskBinding       *anvilchart.Binding[*task]
 	jobBinding        *anvilchart.Binding[*job]
+	evacuationBinding *anvilchart.Binding[*evacuation]
 }
 
 // ChartNames returns the names of the state charts, which ChartText accepts.
-func ChartNames() []string { return []string{"tenure", "worker", "task", "job"} }
+func ChartNames() []string { return []string{"tenure", "worker", "task", "job", "evacuation"} }
 
 // ChartText returns the content of a chart's file. It fails for an unknown name.
 func ChartText(name string) (string, error) {
@@ -48,12 +50,14 @@
 func (l *Loop) loadCharts() error {
 	c := &charts{
 		leadershipBinding: l.bindLeadership(), workerBinding: l.bindWorker(), taskBinding: l.bindTask(), jobBinding: l.bindJob(),
+		evacuationBinding: l.bindEvacuation(),
 	}
-	var errs [4]error
+	var errs [5]error
 	c.leadership, errs[0] = loadChart("tenure", c.leadershipBinding)
 	c.worker, errs[1] = loadChart("worker", c.workerBinding)
 	c.task, errs[2] = loadChart("task", c.taskBinding)
 	c.job, errs[3] = loadChart("job", c.jobBinding)
+	c.evacuation, errs[4] = loadChart("evacuation", c.evacuationBinding)
 	l.charts = c
 	return errors.Join(errs[:]...)
 }
@@ -74,6 +78,10 @@
 	l.reportRefusedEvent(anvilchart.Fire(&j.machine, l.charts.jobBinding, event, j))
 }
 
+func (l *Loop) fireEvacuation(e *evacuation, event string) {
+	l.reportRefusedEvent(anvilchart.Fire(&e.machine, l.charts.evacuationBinding, event, e))
+}
+
 // reportRefusedEvent logs and counts an event that the chart does not allow in the present state. The state does not
 // change.
 func (l *Loop) reportRefusedEvent(err error) {
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -110,11 +110,11 @@
 	return w.registration.capacity.Sub(w.used)
 }
 
-// schedulable reports whether new runs may be bound to the worker: it answers, is registered, is not draining and not in
-// backoff.
+// schedulable reports whether new runs may be bound to the worker: it answers, is registered, is not draining, not in
+// backoff and not in an evacuated domain.
 func (w *worker) schedulable(now anvilclock.Millis) bool {
 	return w.machine.State() == workerReady && !w.registration.draining && now >= w.backoffUntil && w.failures == 0 &&
-		!w.awaitsLateAck() && !w.leasesBounded() && w.minFence == 0 &&
+		!w.awaitsLateAck() && !w.leasesBounded() && w.minFence == 0 && !w.loop.evacuated(w.registration.domain) &&
 		(w.deregisteredAt == 0 || (w.lastReply > w.deregisteredAt && now-w.deregisteredAt < deregistrationGrace))
 }
 
@@ -395,6 +395,7 @@
 		l.fleet.lastReview = now
 		l.queueBounds()
 		l.findLosses()
+		l.reviewEvacuations()
 	}
 	for _, w := range l.fleet.byID {
 		if w.machine.State() != workerReady && now >= w.leaseExpiry && len(w.tasks) > 0 {
--- a/entry/anvilscheduler/harness_test.go
+++ b/entry/anvilscheduler/harness_test.go
@@ -18,7 +18,7 @@
 
 // fakeCluster is an in-memory platform: a store, workers, their registry and an advisor. It fails the test when the
 // scheduler starts a running task elsewhere, starts a task after its successful end was acknowledged, overcommits a
-// worker, or commits too many entries.
+// worker, starts a task in a domain that has been evacuated for too long, or commits too many entries.
 type fakeCluster struct {
 	t        testing.TB
 	clock    *anvilclock.Manual
@@ -33,12 +33,16 @@
 	failQueries int
 	// acknowledged holds the tasks with a successful end that was acknowledged.
 	acknowledged map[anviljob.TaskID]bool
+	// evacuated holds when domains were evacuated. policyLost means that reads of the configuration fail.
+	evacuated  map[string]anvilclock.Millis
+	policyLost bool
 }
 
 func newFakeCluster(t testing.TB, policy *anvilpolicy.Policy) *fakeCluster {
 	fc := &fakeCluster{
 		t: t, clock: anvilclock.NewManual(1_000_000), workers: map[string]*fakeWorker{}, policy: policy,
 		approves: func(string) bool { return true }, acknowledged: map[anviljob.TaskID]bool{},
+		evacuated: map[string]anvilclock.Millis{},
 	}
 	fc.store = &fakeStore{cluster: fc, rows: map[rowKey]anvilstorage.Row{}}
 	return fc
@@ -281,8 +285,9 @@
 		return
 	}
 	ctx := context.Background()
-	if h.cluster.policy != nil {
-		l.post(policyRead{page: anvilstorage.NewPolicyPage(h.cluster.policy, 1, 1), since: now})
+	if h.cluster.policy != nil && !h.cluster.policyLost {
+		page := anvilstorage.NewPolicyPage(h.cluster.policy, 1, 1).WithEvacuations(h.cluster.evacuationPage())
+		l.post(policyRead{page: page, since: now})
 	}
 	states, _ := s.Scan(ctx, anvilstorage.States)
 	l.post(statesRead{page: states, full: true})
--- a/entry/anvilscheduler/harness_worker_test.go
+++ b/entry/anvilscheduler/harness_worker_test.go
@@ -155,6 +155,7 @@
 	if fc.acknowledged[o.Task()] {
 		fc.t.Errorf("task %s starts on %s after its successful end was acknowledged", o.Task(), fw.id)
 	}
+	fc.checkEvacuated(fw)
 	fw.starts++
 	fw.runs[o.Task()] = &fakeRun{run: o.Run(), size: fc.sizeOf(o.Task()), checkpoint: o.Checkpoint(), pace: 100}
 	fw.unreachable = fw.unreachable || fw.cutAfterStart
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -106,6 +106,8 @@
 	workload   workload
 	proxies    proxySet
 	wall       wallClock
+	// evacuations outlive a leadership: every instance follows them.
+	evacuations evacuations
 
 	ctx context.Context
 	// spawn runs a call to the store, a worker or another instance on a traffic goroutine.
@@ -204,6 +206,7 @@
 		peersKnown:   make(chan struct{}),
 
 		secondStartDelay: secondStartDelay.Duration(),
+		evacuations:      evacuations{active: map[string]*evacuation{}},
 		limits:           leaseLimits{maxLease: defaultMaxLease, stopGrace: defaultStopGrace},
 	}
 	l.state.partitionDetected = make(chan struct{})
@@ -377,6 +380,9 @@
 	if c.policy != nil {
 		c.confirmed = max(c.confirmed, m.since)
 	}
+	if e := m.page.Evacuations(); e != nil {
+		l.applyEvacuations(e, m.since)
+	}
 	l.publish()
 }
 
--- a/entry/anvilscheduler/pass.go
+++ b/entry/anvilscheduler/pass.go
@@ -57,7 +57,7 @@
 // pass binds waiting tasks to workers, stage by stage in order of urgency.
 func (l *Loop) pass(now anvilclock.Millis) {
 	l.workload.passRequested, l.workload.lastPass = false, now
-	if l.state.policy == nil {
+	if l.state.policy == nil || !l.knowsEvacuations(now) {
 		return
 	}
 	list := l.readyStages(now)
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -208,12 +208,13 @@
 // sendBound sends the starts of bindings that a commit has stored.
 func (l *Loop) sendBound(bindings []binding) {
 	now := l.clock.Now()
-	valid := l.leadershipValid(now)
+	valid := l.mayStart(now)
 	for _, b := range bindings {
 		if b.task.run != b.run || b.task.machine.State() != taskPlaced {
 			continue
 		}
-		if w := b.task.worker; w.awaitsLateAck() || w.leasesBounded() || w.minFence != 0 || w.failures >= unresponsiveAfter {
+		if w := b.task.worker; w.awaitsLateAck() || w.leasesBounded() || w.minFence != 0 || w.failures >= unresponsiveAfter ||
+			l.evacuated(w.registration.domain) {
 			l.fireTask(b.task, "refused")
 			continue
 		}
@@ -227,7 +228,8 @@
 			l.fireTask(b.task, "committed")
 			continue
 		}
-		// Another instance may have claimed the leadership. The next commit shows that; its success allows the start.
+		// Another instance may have claimed the leadership, or what is known of evacuations is too old. The next commit shows
+		// the former; the start is sent once both are known.
 		j := b.task.stage.job
 		j.unstoredBindings = append(j.unstoredBindings, b.task)
 		l.markRunChanged(b.task)
--- a/entry/anvilscheduler/watch.go
+++ b/entry/anvilscheduler/watch.go
@@ -141,9 +141,10 @@
 func (l *Loop) watchPolicy(ctx context.Context) {
 	l.followFeed(ctx, "configuration", 0, fixedInterval(policyFeedInterval), func(after int64) (int64, error) {
 		since := l.clock.Now()
-		call, cancel := withTimeout(ctx, pageTimeout(after, policyWait))
+		wait := l.policyWaitTime()
+		call, cancel := withTimeout(ctx, pageTimeout(after, wait))
 		defer cancel()
-		page, err := l.registry.Policy(call, after, policyWait)
+		page, err := l.registry.Policy(call, after, wait)
 		if err != nil {
 			return 0, err
 		}
--- a/entry/anvilscheduler/workload.go
+++ b/entry/anvilscheduler/workload.go
@@ -375,8 +375,8 @@
 			case t.machine.State() == taskStopping && now-t.stopSent >= stopRetryDelay && w.machine.State() == workerReady:
 				l.stopTask(t, now)
 			case t.machine.State() == taskStarting && t.adoptedFrom == "" && !t.startInFlight && t.confirmedAt == 0 &&
-				now-t.lastProgress >= orderRetryDelay && w.machine.State() == workerReady && !w.leasesBounded() && w.minFence == 0 && l.leadershipValid(now):
-				l.sendStart(t, now)
+				now-t.lastProgress >= orderRetryDelay && w.machine.State() == workerReady && !w.leasesBounded() && w.minFence == 0 && l.mayStart(now):
+				l.repeatStart(t, now)
 			}
 		}
 	}
--- a/entry/anvilstorage/tx.go
+++ b/entry/anvilstorage/tx.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anvilevacuation"
 	"anvilhold.org/lib/anvilpolicy"
 )
 
@@ -215,9 +216,10 @@
 
 // PolicyPage is the result of reading the operator's configuration or waiting for a change of it.
 type PolicyPage struct {
-	policy     *anvilpolicy.Policy
-	rowVersion int64
-	version    int64
+	policy      *anvilpolicy.Policy
+	rowVersion  int64
+	version     int64
+	evacuations *anvilevacuation.Page
 }
 
 // NewPolicyPage returns a page. policy is nil when the configuration is missing or has not changed, rowVersion the
@@ -232,5 +234,14 @@
 // RowVersion returns the version of the configuration's row, for Tx.ExpectPolicy; 0 when Policy is nil.
 func (p PolicyPage) RowVersion() int64 { return p.rowVersion }
 
+// WithEvacuations returns a copy of the page with what the same read has shown of evacuations.
+func (p PolicyPage) WithEvacuations(e *anvilevacuation.Page) PolicyPage {
+	p.evacuations = e
+	return p
+}
+
+// Evacuations returns what the read has shown of evacuations; nil when it didn't cover them.
+func (p PolicyPage) Evacuations() *anvilevacuation.Page { return p.evacuations }
+
 // Version returns the version up to which the page is complete.
 func (p PolicyPage) Version() int64 { return p.version }
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -136,6 +136,9 @@
 	LinesDropped        ID = 6506
 	ConnectivityChanged ID = 6507
 	ForwardFailed       ID = 6508
+	EvacuationBegun     ID = 6509
+	EvacuationEnded     ID = 6510
+	DomainEmpty         ID = 6511
 	ProcessStarted      ID = 6601
 	ProcessLeaving      ID = 6602
 	ProcessStopped      ID = 6603
@@ -239,13 +242,16 @@
 	{PassSummary, "pass summary", "Once a second: how many steps wait, and for what."},
 	{PoolSummary, "pool summary", "Once a second: the used and the total capacity of a pool."},
 	{PolicyApplied, "policy applied", "A newer configuration of the platform is in force here."},
-	{RowUnreadable, "row unreadable", "A row or entry can't be decoded or encoded and is skipped."},
+	{RowUnreadable, "row unreadable", "A row or entry can't be decoded or encoded and is skipped, or names something unknown."},
 	{StoreFailed, "store failed", "A transaction or a read of the store failed."},
 	{DependencyLost, "dependency lost", "A system that the instance depends on fails or doesn't answer."},
 	{DependencyBack, "dependency back", "The system answers again."},
 	{LinesDropped, "lines dropped", "Log lines were dropped because the output could not keep up."},
 	{ConnectivityChanged, "contact changed", "The instance is partitioned from the store while others reach it, or no longer is."},
 	{ForwardFailed, "detour failed", "An instance that reaches the store did not answer a forwarded call."},
+	{EvacuationBegun, "evacuation begun", "An operator has requested that no work be sent to a failure domain."},
+	{EvacuationEnded, "evacuation ended", "A failure domain gets work again."},
+	{DomainEmpty, "domain empty", "No task is left at the workers of an evacuated failure domain."},
 	{ProcessStarted, "process started", "The process accepts calls."},
 	{ProcessLeaving, "process leaving", "The process was asked to stop."},
 	{ProcessStopped, "process stopped", "The process ends."},
