load: evacuate failure domains in the soak

Cause: the stand-in of the platform knew no evacuations, so no test with processes could request one. Change: its operator evacuates a failure domain and takes it back, and its settings name the bound.

--- a/load/anvilsoak/audit.go
+++ b/load/anvilsoak/audit.go
@@ -87,16 +87,20 @@
 	incarnations map[string]int
 	limits       map[string][]limitChange
 	disruptions  []*disruption
-	pending      []anvilplatformapi.TraceEvent
-	violations   []string
-	starts       int
-	inbox        chan func(a *audit)
-	closed       chan struct{}
+	evacuations  []*evacuation
+	// domains holds the failure domains of workers.
+	domains    map[string]string
+	pending    []anvilplatformapi.TraceEvent
+	violations []string
+	starts     int
+	inbox      chan func(a *audit)
+	closed     chan struct{}
 }
 
 func newAudit() *audit {
 	a := &audit{
 		jobs: map[string]*jobState{}, running: map[anviljob.TaskID][]*runState{}, leaseEnd: map[string]anvilclock.Millis{},
+		domains:      map[string]string{},
 		leaseExpired: map[string]anvilclock.Millis{}, lagPPM: map[string]int{},
 		incarnations: map[string]int{}, limits: map[string][]limitChange{}, inbox: make(chan func(*audit), 1024), closed: make(chan struct{}),
 	}
@@ -224,6 +228,7 @@
 		}
 	}
 	a.checkOrder(j, task)
+	a.checkEvacuated(task, t.Worker(), at)
 	a.endAbsence(j, task, at)
 	step := j.job.steps[task.Step()]
 	a.running[task] = append(a.running[task], &runState{
--- a/load/anvilsoak/churn.go
+++ b/load/anvilsoak/churn.go
@@ -25,17 +25,22 @@
 	return func(s *Soak) { s.fixed, s.noFaults = faults, true }
 }
 
-// ParseSchedule parses a list of faults, each as NAME@START or NAME@START+DURATION. NAME is kill-leader or a fault of the
-// store, such as compact or slow; the times are durations such as 285s.
+// ParseSchedule parses a list of faults, each as NAME@START or NAME@START+DURATION. NAME is kill-leader, pause-leader, kill-all,
+// evacuate-domain or a fault of the store, such as compact or slow; the times are durations such as 285s. The first evacuation
+// is that of the first failure domain, the second one that of the second, and so on.
 func ParseSchedule(text string) ([]Fault, error) {
 	var out []Fault
+	evacuations := 0
 	for item := range strings.SplitSeq(text, ",") {
 		name, times, ok := strings.Cut(item, "@")
 		start, span, _ := strings.Cut(times, "+")
-		f := Fault{kind: KillLeader}
+		f := Fault{kind: Kind(name)}
 		if i := slices.Index(anvilplatform.FaultKinds(), anvilplatform.FaultKind(name)); i >= 0 {
 			f.kind, f.variant = StoreFault, i+scheduledStrength
-		} else if name != string(KillLeader) {
+		} else if f.kind == EvacuateDomain {
+			f.target = evacuations
+			evacuations++
+		} else if !slices.Contains([]Kind{KillLeader, PauseLeader, KillAll}, f.kind) {
 			ok = false
 		}
 		var err, spanErr error
--- a/load/anvilsoak/churn_test.go
+++ b/load/anvilsoak/churn_test.go
@@ -26,6 +26,12 @@
 			t.Errorf("parsed as %s", f)
 		}
 	})
+	t.Run("evacuations", func(t *testing.T) {
+		all, err := ParseSchedule("evacuate-domain@1s+9s,kill-all@2s,evacuate-domain@3s+9s")
+		if err != nil || len(all) != 3 || all[0].kind != EvacuateDomain || all[0].target != 0 || all[2].kind != EvacuateDomain || all[2].target != 1 {
+			t.Errorf("parsed as %s, error %v", all, err)
+		}
+	})
 	for _, text := range []string{"", "kill-leader", "kill-entry@2s", "compact@2", "slow@2s+x"} {
 		t.Run("invalid "+text, func(t *testing.T) {
 			if _, err := ParseSchedule(text); err == nil {
--- a/load/anvilsoak/fleet.go
+++ b/load/anvilsoak/fleet.go
@@ -182,10 +182,11 @@
 		latePercent = f.latePercent
 	}
 	id := w.id()
-	f.audit.call(func(a *audit) { a.lagPPM[id] = w.lagPPM })
+	domain := fmt.Sprintf("d%d", w.domain())
+	f.audit.call(func(a *audit) { a.lagPPM[id], a.domains[id] = w.lagPPM, domain })
 	p, err := f.spawner.start(w.id(), filepath.Join(f.dir, w.id()+".log"), nil, f.readTrace, filepath.Join(f.bin, "anvilplatform"), anvilplatformapi.WorkerCommand,
 		"-id", w.id(), "-addr", f.addr(workerHost+w.index, workerPort), "-listed", f.addr(workerProxyHost+w.index, workerPort),
-		"-site", f.addr(storeProxyHost+w.index, platformPort), "-pool", pool, "-domain", fmt.Sprintf("d%d", w.domain()),
+		"-site", f.addr(storeProxyHost+w.index, platformPort), "-pool", pool, "-domain", domain,
 		"-rack", fmt.Sprintf("r%d", w.index/2), "-size", workerSize, "-late", fmt.Sprint(latePercent), "-slow", fmt.Sprint(float64(w.lagPPM)/10_000),
 		"-linger", fmt.Sprint(int64(w.linger)), "-lease", fmt.Sprint(int64(f.maxLease)))
 	if err != nil {
--- a/load/anvilsoak/inject.go
+++ b/load/anvilsoak/inject.go
@@ -19,6 +19,8 @@
 	switch f.kind {
 	case CutDomain, MuteDomain, PauseDomain, KillDomain, DrainDomain:
 		return s.injectDomainFault(ctx, f)
+	case EvacuateDomain:
+		return s.evacuate(ctx, f)
 	case KillLeader, PauseLeader, StopLeader, CutLeader, KillTwoLeaders, TerminateLeader:
 		return s.injectLeaderFault(ctx, f)
 	case KillEntry, StopEntry, PauseEntry, ReloadEntry, TerminateEntry:
--- a/load/soak.go
+++ b/load/soak.go
@@ -53,7 +53,7 @@
 	f.BoolVar(&c.lasting, "lasting", false, "submit long-running jobs, and inject rounds of lost workers and disturbed leaders")
 	f.IntVar(&c.idle, "idle", 0, "for how many seconds no job is submitted before the first fault")
 	f.IntVar(&c.rate, "rate", 0, "submit this many jobs a second of one short task each, and no random jobs and faults")
-	f.StringVar(&c.faults, "faults", "", "with -rate, the faults to inject, such as compact@285s,kill-leader@290s,slow@60s+120s")
+	f.StringVar(&c.faults, "faults", "", "with -rate, the faults to inject, such as compact@285s,kill-leader@290s,slow@60s+120s,evacuate-domain@9s+20s")
 	f.StringVar(&c.logs, "logs", "", "existing directory in which the logs of all seeds are kept")
 }
 
--- a/load/soak_test.go
+++ b/load/soak_test.go
@@ -10,6 +10,9 @@
 // domainSeed is a seed whose faults of failure domains overlap.
 const domainSeed = 112
 
+// evacuationSeed is a seed of jobs; the evacuations don't depend on it.
+const evacuationSeed = 44
+
 // lossSeed is a seed that loses four workers and kills the leader beside them.
 const lossSeed = 39354
 
@@ -19,6 +22,8 @@
 	domainSoak = 8 * time.Second
 	middleSoak = 12 * time.Second
 	longSoak   = 15 * time.Second
+	// Two evacuations that overlap.
+	evacuationSoak = 16 * time.Second
 	// One round of lost workers, with the calm after it.
 	roundSoak = 32 * time.Second
 )
@@ -62,6 +67,16 @@
 		// Guards against long-running tasks that stay away after the loss of their worker, or run twice.
 		assertNoViolations(t, runSoak(t, lossSeed, anvilsoak.WithLongRunning(), anvilsoak.WithSizes(5, 12), anvilsoak.WithLength(roundSoak)))
 	})
+	t.Run("evacuations of failure domains", func(t *testing.T) {
+		// Guards against starts in an evacuated domain: when the leader changes, when all processes are new, after an outage of
+		// the store, and with two domains evacuated at once.
+		faults, err := anvilsoak.ParseSchedule("evacuate-domain@1s+14s,kill-leader@3s,kill-all@6s+1s,evacuate-domain@6500ms+9s,mute@9s+1s")
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertNoViolations(t, runSoak(t, evacuationSeed, anvilsoak.WithShortJobs(20), anvilsoak.WithSizes(3, 6), anvilsoak.WithSchedule(faults),
+			anvilsoak.WithLength(evacuationSoak)))
+	})
 	// Gang jobs are tested by make soak only: on a busy machine the stand-in may not end their tasks together.
 	for _, c := range []struct {
 		seed   uint64
--- a/standin/anvilplatform/platform.go
+++ b/standin/anvilplatform/platform.go
@@ -319,6 +319,13 @@
 	return rows[:min(len(rows), MaxReadRows)]
 }
 
+// DeleteOperatorRow deletes a row of the operator's table. Injected faults don't affect it.
+func (p *Platform) DeleteOperatorRow(key string) Page {
+	t := &Tx{}
+	t.Delete(RowID{table: TableOperator, key: key})
+	return p.apply(t)
+}
+
 // WriteOperatorRow writes a row of the operator's table. Injected faults don't affect it.
 func (p *Platform) WriteOperatorRow(key string, value []byte) Page {
 	t := &Tx{}
--- a/standin/anvilplatformapi/operator.go
+++ b/standin/anvilplatformapi/operator.go
@@ -11,7 +11,10 @@
 	"anvilhold.org/standin/anvilplatform"
 )
 
-const keyConfig = "config"
+const (
+	keyConfig   = "config"
+	keyEvacuate = "evacuate/"
+)
 
 type routeBody struct {
 	Name     string          `json:"name"`
@@ -110,6 +113,16 @@
 	return post(ctx, o.client, o.platform, pathOperate, operateBody{Key: keyConfig, Value: value}, nil)
 }
 
+// Evacuate requests that no work be sent to the workers of a failure domain, until TakeBack is called.
+func (o *Operator) Evacuate(ctx context.Context, domain string) error {
+	return post(ctx, o.client, o.platform, pathOperate, operateBody{Key: keyEvacuate + domain, Value: []byte("{}")}, nil)
+}
+
+// TakeBack ends the evacuation of a failure domain.
+func (o *Operator) TakeBack(ctx context.Context, domain string) error {
+	return post(ctx, o.client, o.platform, pathOperate, operateBody{Key: keyEvacuate + domain, Delete: true}, nil)
+}
+
 // Inject injects a fault that lasts for d. For strength see anvilplatform.Platform.Inject.
 func (o *Operator) Inject(ctx context.Context, kind anvilplatform.FaultKind, d anvilclock.Millis, strength int) error {
 	return post(ctx, o.client, o.platform, pathFault, faultBody{Kind: string(kind), Millis: int64(d), Strength: strength}, nil)
--- a/standin/anvilplatformapi/platform.go
+++ b/standin/anvilplatformapi/platform.go
@@ -216,14 +216,20 @@
 }
 
 type operateBody struct {
-	Key   string `json:"key"`
-	Value []byte `json:"value"`
+	Key    string `json:"key"`
+	Value  []byte `json:"value"`
+	Delete bool   `json:"remove"`
 }
 
 func (h *platformHandler) operate(w http.ResponseWriter, r *http.Request) {
 	var in operateBody
 	if readJSON(w, r, &in) {
-		h.call(w, 0, func(p *anvilplatform.Platform) anvilplatform.Page { return p.WriteOperatorRow(in.Key, in.Value) })
+		h.call(w, 0, func(p *anvilplatform.Platform) anvilplatform.Page {
+			if in.Delete {
+				return p.DeleteOperatorRow(in.Key)
+			}
+			return p.WriteOperatorRow(in.Key, in.Value)
+		})
 	}
 }
 
--- a/standin/anvilplatformapi/settings.go
+++ b/standin/anvilplatformapi/settings.go
@@ -65,6 +65,8 @@
 	MaxLease = anvilclock.Millis(10_000)
 	// StopGrace is the longest time from a stop order to the end of the run.
 	StopGrace = anvilclock.Millis(900)
+	// EvacuationBound is how long after a request for it work may still start in an evacuated failure domain.
+	EvacuationBound = anvilclock.Millis(5000)
 	// ShutdownGrace is the time from SIGTERM to SIGKILL.
 	ShutdownGrace = anvilclock.Millis(6000)
 	// DrainTime is the minimum time for which a draining worker still serves.
@@ -81,7 +83,8 @@
 	fmt.Fprintf(&b, "heartbeat_interval_ms = %d\norders = \"invocation\"\nadvice = %q\n", HeartbeatInterval, s.advisor)
 	fmt.Fprintf(&b, "[listen]\nfrontend = %q\nready = %q\n", s.CallerAddr(), s.ReadyAddr())
 	fmt.Fprintf(&b, "[limits]\ncpu_share = %g\ncores = 1\nmemory_mb = 512\nfile_descriptors = 4096\n", s.cpuShare)
-	fmt.Fprintf(&b, "[bounds]\ngrace_s = %d\nmax_hold_ms = %d\nstop_grace_ms = %d\n", ShutdownGrace/1000, s.maxLease, s.stopGrace)
+	fmt.Fprintf(&b, "[bounds]\ngrace_s = %d\nmax_hold_ms = %d\nstop_grace_ms = %d\nevacuation_ms = %d\n", ShutdownGrace/1000, s.maxLease, s.stopGrace,
+		EvacuationBound)
 	fmt.Fprintf(&b, "[platform]\naddress = %q\n", s.platform)
 	return b.String()
 }
