scheduler: move long-running tasks out of evacuated domains

Cause: long-running tasks never end by themselves, so a domain with some of them never gets empty without drains. Change: once an evacuation has lasted for 20 s, the leader stops one such task every 500 ms at most, if all others of its step are at work, another worker can take it now and the pool keeps its headroom. Gangs and other tasks end where they are.

--- a/entry/anvilscheduler/evacuation.go
+++ b/entry/anvilscheduler/evacuation.go
@@ -27,6 +27,8 @@
 	domains anvilevacuation.Domains
 	// active holds the evacuations in force by their domains.
 	active map[string]*evacuation
+	// lastMove is when a task to be moved was last looked for.
+	lastMove anvilclock.Millis
 }
 
 // evacuation is an evacuation in force, of which this instance has known since a time.
@@ -111,6 +113,9 @@
 		event := "empty"
 		if n := counts[domain]; n > 0 {
 			event, total = "used", total+n
+			if e.movesTasks(l.clock.Now()) {
+				l.requestPass()
+			}
 		}
 		l.fireEvacuation(e, event)
 	}
--- a/entry/anvilscheduler/pass.go
+++ b/entry/anvilscheduler/pass.go
@@ -73,6 +73,7 @@
 		}
 		p.claimReserved(r)
 	}
+	l.moveEvacuated(p)
 	took := l.clock.Now() - now
 	l.workload.passInterval = max(minPassInterval, took*passIdleFactor)
 	l.meter.Observe("pass", took.Duration())
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -235,7 +235,7 @@
 	{RunUnbound, "run stray", "A worker runs a task that is not bound to it; the run is stopped."},
 	{RunStalled, "run stalled", "A run makes no progress and is stopped."},
 	{RunPaced, "run paced", "An opportunistic task is throttled or resumed because of a serving task."},
-	{RunMoved, "run moved", "A run is stopped because its worker will leave before the run ends."},
+	{RunMoved, "run moved", "A run is stopped because its worker will leave before the run ends, or its failure domain is evacuated."},
 	{TaskAttemptsExhausted, "task spent", "A task has failed as often as its queue allows."},
 	{AdviceGiven, "advice given", "The advisor has answered which workers may run a step."},
 	{AdviceFailed, "advice failed", "A query to the advisor failed or got no answer."},
