--- a/entry/anvilscheduler/dispatch.go
+++ b/entry/anvilscheduler/dispatch.go
@@ -20,6 +20,7 @@
 	refusalProcess  = "process"
 	refusalEntry    = "entry"
 	refusalDraining = "draining"
+	refusalDomain   = "domain"
 	refusalPool     = "pool"
 	refusalLabel    = "label"
 	refusalSpread   = "spread"
@@ -47,6 +48,8 @@
 		return refusalEntry
 	case w.registration.draining:
 		return refusalDraining
+	case l.evacuated(w.registration.domain):
+		return refusalDomain
 	case !w.hasLabel(s.step.Label()):
 		return refusalLabel
 	case s.step.MaxPerWorker() != 0 && s.perWorker[w] > s.step.MaxPerWorker():
@@ -62,7 +65,7 @@
 	if t.ticketLapsed(now) {
 		return refusalTicket
 	}
-	if !l.leadershipValid(now) {
+	if !l.mayStart(now) {
 		return refusalLeadership
 	}
 	return ""
@@ -95,7 +98,8 @@
 		case "":
 			l.fireTask(t, "committed")
 		case refusalLeadership:
-			// Another instance may have claimed the leadership. The next commit shows that; its success allows the start.
+			// Another instance may have claimed the leadership, or what is known of evacuations is too old. The next commit shows
+			// the former; the start is sent once both are known.
 			t.stage.job.unstoredBindings = append(t.stage.job.unstoredBindings, t)
 			l.markRunChanged(t)
 		default:
--- a/entry/anvilscheduler/nearwait.go
+++ b/entry/anvilscheduler/nearwait.go
@@ -25,6 +25,10 @@
 // in any pass.
 const nearReviewInterval = anvilclock.Millis(50)
 
+// nearTurnover is the time from the end of a run until the next one can start in its place: the end is reported, the next choice
+// is stored, and the start is sent.
+const nearTurnover = anvilclock.Millis(100)
+
 // nearWaits decides in one pass which tasks of a stage leave a place elsewhere.
 type nearWaits struct {
 	pass *passState
@@ -173,7 +177,7 @@
 	if len(places) == 0 {
 		return 0, false
 	}
-	return places[n%len(places)] + anvilclock.Millis(n/len(places))*run, true
+	return places[n%len(places)] + anvilclock.Millis(n/len(places))*(run+nearTurnover), true
 }
 
 // nearPlaces returns, in order, when places for tasks of a stage become free on its rack, without those that more urgent
@@ -204,6 +208,11 @@
 		}
 		places = append(places, times...)
 	}
+	for i, at := range places {
+		if at > p.now {
+			places[i] = at + nearTurnover
+		}
+	}
 	slices.Sort(places)
 	return places
 }
--- a/entry/anvilscheduler/pass.go
+++ b/entry/anvilscheduler/pass.go
@@ -61,7 +61,7 @@
 // pass binds waiting tasks to workers, stage by stage in order of urgency.
 func (l *Loop) pass(now anvilclock.Millis) {
 	l.workload.passRequested, l.workload.lastPass = false, now
-	if l.state.policy == nil {
+	if l.state.policy == nil || !l.knowsEvacuations(now) {
 		return
 	}
 	list := l.readyStages(now)
@@ -76,6 +76,7 @@
 			l.requestTickets(p, r)
 		}
 	}
+	l.moveEvacuated(p)
 	took := l.clock.Now() - now
 	l.workload.passInterval = max(minPassInterval, took*passIdleFactor)
 	l.meter.Observe("pass", took.Duration())
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -141,6 +141,9 @@
 	LinesDropped        ID = 6506
 	ConnectivityChanged ID = 6507
 	ForwardFailed       ID = 6508
+	EvacuationBegun     ID = 6509
+	EvacuationEnded     ID = 6510
+	DomainEmpty         ID = 6511
 	ProcessStarted      ID = 6601
 	ProcessLeaving      ID = 6602
 	ProcessStopped      ID = 6603
@@ -237,7 +240,7 @@
 	{RunUnbound, "run stray", "A worker runs a task that is not bound to it; the run is stopped."},
 	{RunStalled, "run stalled", "A run makes no progress and is stopped."},
 	{RunPaced, "run paced", "An opportunistic task is throttled or resumed because of a serving task."},
-	{RunMoved, "run moved", "A run is stopped because its worker will leave before the run ends."},
+	{RunMoved, "run moved", "A run is stopped because its worker will leave before the run ends, or its failure domain is evacuated."},
 	{TaskAttemptsExhausted, "task spent", "A task has failed as often as its queue allows."},
 	{StartWithheld, "start withheld", "A start is not sent, because its worker can't be used for the task any more."},
 	{NearWaitStarted, "near wait", "A step waits for places near its data or its group, although it could start elsewhere."},
@@ -249,13 +252,16 @@
 	{CapacityReserved, "capacity reserved", "A step that can't start yet begins to reserve capacity, with the expected time to its start."},
 	{ReservationLapsed, "reservation lapsed", "A step has not started in time after it began to reserve capacity, and reserves nothing for a while."},
 	{PolicyApplied, "policy applied", "A newer configuration of the platform is in force here."},
-	{RowUnreadable, "row unreadable", "A row or entry can't be decoded or encoded and is skipped."},
+	{RowUnreadable, "row unreadable", "A row or entry can't be decoded or encoded and is skipped, or names something unknown."},
 	{StoreFailed, "store failed", "A transaction or a read of the store failed."},
 	{DependencyLost, "dependency lost", "A system that the instance depends on fails or doesn't answer."},
 	{DependencyBack, "dependency back", "The system answers again."},
 	{LinesDropped, "lines dropped", "Log lines were dropped because the output could not keep up."},
 	{ConnectivityChanged, "contact changed", "The instance is partitioned from the store while others reach it, or no longer is."},
 	{ForwardFailed, "detour failed", "An instance that reaches the store did not answer a forwarded call."},
+	{EvacuationBegun, "evacuation begun", "An operator has requested that no work be sent to a failure domain."},
+	{EvacuationEnded, "evacuation ended", "A failure domain gets work again."},
+	{DomainEmpty, "domain empty", "No task is left at the workers of an evacuated failure domain."},
 	{ProcessStarted, "process started", "The process accepts calls."},
 	{ProcessLeaving, "process leaving", "The process was asked to stop."},
 	{ProcessStopped, "process stopped", "The process ends."},
