anvilscheduler: lengthen a reservation after it has lapsed

Cause: trials without processes showed that gangs starve with the short bound: three of eight workers among tasks of 0.8 s with an estimate of 0.3 s (not started after 20 s), and one or three workers of a kind that is full of tasks of 3 s and more in a pool that is mostly free (not after 60 s). Unbounded reservations took 8 to 16 s. Change: a reservation lapses 10 s after the expected start, 2.5 s after its begin in a pool that is mostly free, and each lapse makes the next one four times as long, up to two times.

--- a/entry/anvilscheduler/reserve.go
+++ b/entry/anvilscheduler/reserve.go
@@ -24,6 +24,8 @@
 	begunAt anvilclock.Millis
 	// pausedUntil is the time before which the stage reserves nothing, because its reservation has lapsed.
 	pausedUntil anvilclock.Millis
+	// lapses is how often the reservation has lapsed since the stage last started tasks.
+	lapses int
 }
 
 // reservation is capacity of a candidate that a stage holds for tasks which can't start yet.
@@ -125,23 +127,24 @@
 }
 
 // lapsed ends the reservation of a stage that hasn't started for reservationGrace after it should have, because the estimates of
-// the tasks before it are wrong. In a pool that is mostly free, it ends reservationGrace after it has begun: other jobs must not wait
-// beside free workers for longer. Other stages can use the capacity during the pause after that.
+// the tasks before it are wrong. In a pool that is mostly free, it ends freePoolGrace after it has begun: other jobs must not wait
+// beside free workers for longer. Other stages can use the capacity during the pause after that. Each lapse quadruples the times,
+// so that the stage doesn't starve among tasks that take longer.
 func (p *passState) lapsed(r readyStage) bool {
 	kept, snap := &r.stage.reservation, p.pool(r.queue.Pool())
 	if kept.startAt == 0 {
 		return false
 	}
-	end := kept.startAt + reservationGrace
+	end := kept.startAt + reservationGrace<<(2*kept.lapses)
 	if snap.used.Dominant(snap.capacity) < mostlyFreeUse {
-		end = kept.begunAt + reservationGrace
+		end = min(end, kept.begunAt+freePoolGrace<<(2*kept.lapses))
 	}
 	if p.now < end {
 		return false
 	}
 	p.loop.log.Record(anvilevent.ReservationLapsed, "step", r.stage.name(), "expected", int64(kept.startAt-p.now))
 	p.loop.meter.Count("reservation.lapsed")
-	kept.startAt, kept.pausedUntil = 0, p.now+reservationPause
+	kept.startAt, kept.pausedUntil, kept.lapses = 0, p.now+reservationPause, min(kept.lapses+1, maxLapses)
 	return true
 }
 
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -228,9 +228,13 @@
 	// reservedPoolDivisor bounds the reservations that are kept from pass to pass: they cover at most one in
 	// reservedPoolDivisor workers of a pool.
 	reservedPoolDivisor = 4
-	// reservationGrace is how long a reservation lasts after the stage should have started by the estimates. Others may find
-	// capacity idle for that long, which is less than the 3 s that a job may have nothing running beside free capacity.
-	reservationGrace = anvilclock.Millis(2500)
+	// reservationGrace is how long a reservation lasts after the stage should have started by the estimates, which are often too
+	// short.
+	reservationGrace = anvilclock.Millis(10_000)
+	// freePoolGrace is how long the first reservation of a stage lasts in a pool that is mostly free.
+	freePoolGrace = anvilclock.Millis(2500)
+	// maxLapses bounds how often the times are quadrupled.
+	maxLapses = 2
 	// mostlyFreeUse is the use of a pool, in parts per million, below which a job may not wait beside free capacity for 3 s.
 	mostlyFreeUse = 500_000
 	// reservationPause is how long a stage reserves nothing after its reservation has lapsed. A job of a queue with advice can
