anvilscheduler: leave out reservations that don't bind a stage

Cause: at a worker with several reservations, one that doesn't bind a stage, for instance of a less urgent queue, was subtracted from its free capacity with the next one that does. Found by reading. Change: only those that bind it are added up.

--- a/entry/anvilscheduler/reserve.go
+++ b/entry/anvilscheduler/reserve.go
@@ -62,10 +62,10 @@
 	}
 	available, reserved := free, anvilsize.Size{}
 	for _, r := range c.reservations {
-		reserved = reserved.Add(r.size)
 		if !r.binds(s) {
 			continue
 		}
+		reserved = reserved.Add(r.size)
 		left := free.Sub(reserved)
 		for t := range c.worker.tasks {
 			if t.expectedEnd(r.now) <= r.freeAt {
