anvilscheduler: change kinds and the maximum in the simulation

TestNoTaskRunsTwice restarted workers with the labels that they had and played one configuration, so it couldn't see starts where a task may not run any more. Two kinds of disruptions are added, with random numbers of their own: "change kind" restarts a worker with or without a label that steps require, "change maximum" changes what the team may use. A start that reaches the process that it was meant for at once is checked against its labels and the sender's maximum.

--- a/entry/anvilscheduler/dispatch_test.go
+++ b/entry/anvilscheduler/dispatch_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"anvilhold.org/lib/anviljob"
-	"anvilhold.org/lib/anvilpolicy"
 )
 
 // startedWithLostStarts returns a cluster in which w1, which is the only worker with the label "large", gets no order: the
@@ -62,9 +61,7 @@
 // Guards against a team above its maximum: the maximum is lowered while starts of the team have no answer.
 func TestRepeatedStartWithinLoweredLimit(t *testing.T) {
 	fc, h := startedWithLostStarts(t, 4)
-	p := testPolicy()
-	plain, _ := p.Queue(plainQueue)
-	fc.policy = anvilpolicy.New(2, []anvilpolicy.Queue{*plain}, anvilpolicy.WithTeams(anvilpolicy.NewTeam(teamName, 100, core(4), []string{"key"})))
+	fc.policy = policyWithMaximum(2, core(4))
 	fc.advance(reactionTime, h)
 	fc.workers["w1"].unreachable = false
 	for range 40 {
--- a/entry/anvilscheduler/simulation_loop_test.go
+++ b/entry/anvilscheduler/simulation_loop_test.go
@@ -323,8 +323,10 @@
 // playStart sends an attempt of a start.
 func (l *simLoop) playStart(m startAnswered, to Target, o StartOrder) {
 	key := fmt.Sprint(l.name, "start", to, o.Task(), o.Run(), "/", m.round, m.sent)
-	l.transmit(to, m.worker.registration.incarnation, key, m.timeout, func(p *simProcess, how string, reply func(any, error)) {
+	meant, limit := m.worker.registration.incarnation, l.loop.state.policy
+	l.transmit(to, meant, key, m.timeout, func(p *simProcess, how string, reply func(any, error)) {
 		err := p.start(o, how)
+		l.sim.checkChoice(p, o, limit, how == "in time" && meant == p.incarnation)
 		reply(p.clock(), err)
 	}, func(v any, err error) {
 		m.clock, _ = v.(anvilclock.Millis)
--- a/entry/anvilscheduler/simulation_test.go
+++ b/entry/anvilscheduler/simulation_test.go
@@ -44,6 +44,8 @@
 	// ideal leaves out what an order does at another process than the one that it was sent to: "other process" loses the
 	// order, "other acknowledgement" only its acknowledgement, "other start" only starts.
 	ideal []string
+	// choices are the disruptions that change what workers are chosen by, or nil.
+	choices *choices
 	// violations are the broken rules, trace what happened at the workers.
 	violations []string
 	// checks are called after each step.
--- a/entry/anvilscheduler/simulation_worker_test.go
+++ b/entry/anvilscheduler/simulation_worker_test.go
@@ -39,12 +39,16 @@
 	stopAt  anvilclock.Millis
 	saved   string
 	step    *anviljob.Step
+	// checked and counted are set by checkChoice.
+	checked bool
+	counted bool
 }
 
 // simProcess is one incarnation of a worker.
 type simProcess struct {
 	worker      *simWorker
 	addr        string
+	labels      []string
 	incarnation int64
 	base        anvilclock.Millis
 	startedAt   anvilclock.Millis
@@ -78,7 +82,7 @@
 	s := w.sim
 	w.addr = addr
 	w.process = &simProcess{
-		worker: w, addr: addr, incarnation: int64(s.now()), base: 1 + s.delay(0, 300, w.id, "base"), startedAt: s.now(), alive: true,
+		worker: w, addr: addr, labels: s.choices.labels(), incarnation: int64(s.now()), base: 1 + s.delay(0, 300, w.id, "base"), startedAt: s.now(), alive: true,
 		runs: map[simRunKey]*simRun{}, barred: map[anviljob.TaskID]int{},
 	}
 	w.nextBeat = s.now() + s.delay(0, 600, w.id, "beat")
@@ -143,7 +147,7 @@
 }
 
 func (p *simProcess) entry() Registration {
-	reg := NewRegistration(p.worker.id, p.addr, poolName, p.worker.domain, nil, core(6), p.incarnation)
+	reg := NewRegistration(p.worker.id, p.addr, poolName, p.worker.domain, p.labels, core(6), p.incarnation)
 	if p.drainAt != 0 {
 		reg = reg.Draining(max(p.drainAt-p.worker.sim.now(), 0))
 	}
--- a/entry/anvilscheduler/twice_test.go
+++ b/entry/anvilscheduler/twice_test.go
@@ -42,7 +42,7 @@
 
 func newScenario(t testing.TB, seed uint64, without ...string) *scenario {
 	sc := &scenario{simulation: newSimulation(t, seed), submitEvery: 400}
-	sc.ideal = without
+	sc.ideal, sc.choices = without, newChoices(seed, without)
 	sc.tracing = os.Getenv(traceVariable) != ""
 	for _, list := range [][]string{orderFaults, storeFaults, lifeFaults, loopFaults} {
 		for _, kind := range list {
@@ -107,6 +107,7 @@
 		if len(sc.kinds) > 0 && sc.rng.IntN(100) < intensity {
 			sc.disrupt(sc.kinds[sc.rng.IntN(len(sc.kinds))])
 		}
+		sc.disruptChoices()
 		if len(sc.jobs) > 0 && sc.rng.IntN(150) == 0 {
 			sc.commitCall(anvilstorage.NewRow(anvilstorage.Intake, anvilstorage.CancelKey(sc.jobs[sc.rng.IntN(len(sc.jobs))]), []byte("{}")))
 		}
@@ -137,11 +138,11 @@
 	if err != nil {
 		sc.t.Fatal(err)
 	}
-	intake, err := anvilstorage.SubmissionRow(anviljob.NewSubmission(id, plainQueue, "", sc.now(), spec))
+	intake, err := anvilstorage.SubmissionRow(anviljob.NewSubmission(id, plainQueue, sc.choices.team(), sc.now(), spec))
 	if err != nil {
 		sc.t.Fatal(err)
 	}
-	state, err := anvilstorage.StateRow(anvilstorage.NewJobState(id, plainQueue, "", anviljob.Queued, 0))
+	state, err := anvilstorage.StateRow(anvilstorage.NewJobState(id, plainQueue, sc.choices.team(), anviljob.Queued, 0))
 	if err != nil {
 		sc.t.Fatal(err)
 	}
@@ -168,6 +169,9 @@
 		if sc.rng.IntN(3) == 0 {
 			opts = append(opts, anviljob.WithCheckpoints(true))
 		}
+		if label := sc.choices.label(); label != "" {
+			opts = append(opts, anviljob.WithLabel(label))
+		}
 		steps = append(steps, anviljob.NewStep(1+sc.rng.IntN(5), core(1+sc.rng.Int64N(3)), opts...))
 	}
 	repeat := anviljob.Repeat{}
@@ -322,7 +326,7 @@
 		}
 		for _, v := range sc.violations {
 			failures++
-			t.Errorf("seed %d, kinds %v: %s", seed, sc.kinds, v)
+			t.Errorf("seed %d, kinds %v: %s", seed, append(sc.kinds, sc.choices.kinds...), v)
 		}
 		if name := os.Getenv(traceVariable); name != "" {
 			if err := os.WriteFile(name, []byte(strings.Join(sc.trace, "\n")), 0o600); err != nil {
