anvilscheduler: keep the lease bound of a worker that has not restarted

An acknowledgement without an answer raises the token of its worker. When the worker accepted it, its leases counted as lasting for the longest one, as after a restart, so the tasks of a worker that was lost soon after would have waited for 10 s in place of 5 s.

TestLeaseAfterLateAck failed before.

--- a/entry/anvilscheduler/exposure_test.go
+++ b/entry/anvilscheduler/exposure_test.go
@@ -97,3 +97,25 @@
 	fc.advance(4*reactionTime, h)
 	assertEqual(t, "state of j2", fc.state("j2"), anviljob.Completed)
 }
+
+// Guards against tasks that wait for the longest lease after the loss of a worker that has not restarted, because an acknowledgement
+// to it got no answer.
+func TestLeaseAfterLateAck(t *testing.T) {
+	fc, h := startedWithAck(t)
+	fw, w := fc.workers["w1"], h.loop.fleet.byID["w1"]
+	fc.submit("j1", plainQueue, teamName, anviljob.NewStep(2, core(1), anviljob.WithEstimate(60_000)))
+	fc.advance(reactionTime, h)
+	fc.endRun("j1.0.0.0", CauseDone, "")
+	for w.acked == 1 {
+		fc.advance(25, h)
+	}
+	fw.loseHolds = true
+	fc.advance(100, h)
+	fw.loseHolds = false
+	fc.advance(2*reactionTime, h)
+	assertEqual(t, "the worker has a raised token", fw.token > h.loop.leadership.token, true)
+	latest := fc.clock.Now() + h.loop.leaseExpiryAfter(h.loop.grantedLease())
+	if w.leaseExpiry > latest {
+		t.Errorf("leases may last until %d, want %d at the latest", w.leaseExpiry, latest)
+	}
+}
--- a/entry/anvilscheduler/fence.go
+++ b/entry/anvilscheduler/fence.go
@@ -1,7 +1,7 @@
 package anvilscheduler
 
-// Orders carry the fencing token of the leadership row. When a worker restarts under its id, the leader raises the token for
-// it: once the new process has accepted the raised one, it refuses orders to the former process that arrive late.
+// Orders carry the fencing token of the leadership row. When a worker restarts under its id, or an acknowledgement to it gets no
+// answer, the leader raises the token for it: once its process has accepted the raised one, it refuses earlier orders that arrive late.
 
 // requireFence requires that the worker accepts a fencing token above those of all orders sent so far, before it gets starts.
 func (l *Loop) requireFence(w *worker) {
@@ -32,11 +32,14 @@
 	}
 }
 
-// acceptFence records that the worker has answered an order with a fencing token. A late order may have extended its leases
-// before that.
+// acceptFence records that the worker has answered an order with a fencing token. Before that, a late order to the former process
+// may have extended the leases of a worker that has restarted.
 func (w *worker) acceptFence(fence int64) {
-	if w.minFence != 0 && fence >= w.minFence {
-		w.minFence = 0
+	if w.minFence == 0 || fence < w.minFence {
+		return
+	}
+	w.minFence = 0
+	if w.formerIncarnation != 0 {
 		w.recordRestart(w.loop.clock.Now())
 	}
 }
