anvilscheduler: ask workers about runs that a former leader has ended

A successor counted the starts of the runs that it adopted as open, but not those whose end its predecessor had stored and not yet acknowledged. It acknowledged these ends and asked the worker no more often than others.

The case "that has stored the end" of TestOpenStartOfFormerLeader failed before.

--- a/entry/anvilscheduler/exposure.go
+++ b/entry/anvilscheduler/exposure.go
@@ -16,6 +16,23 @@
 	return false
 }
 
+// recordFormerStart records that a run which has ended may have been started by a former leader, whose attempt may have got no
+// answer. The run isn't bound here any more if the former leader has stored its end.
+func (l *Loop) recordFormerStart(w *worker, e RunEnd) {
+	since := l.leadership.leadingSince
+	if l.clock.Now()-since >= lateOrderWindow {
+		return
+	}
+	t := l.findTask(e.task)
+	if t == nil {
+		// The job has ended.
+		t = &task{id: e.task}
+	}
+	if t.run != e.run || t.startSent == 0 {
+		w.recordNoAnswer(startKey{t, e.run}, since)
+	}
+}
+
 // startOpen reports whether an attempt of a start has no answer and may still arrive.
 func (w *worker) startOpen(key startKey, now anvilclock.Millis) bool {
 	s, ok := w.lateStarts[key]
--- a/entry/anvilscheduler/exposure_test.go
+++ b/entry/anvilscheduler/exposure_test.go
@@ -41,10 +41,28 @@
 func TestOpenStartOfFormerLeader(t *testing.T) {
 	fc, h, late := startedWithoutAnswer(t)
 	h.paused = true
+	assertBarredAfterTakeover(t, fc, late, func() { fc.endRun("j1.0.0.0", CauseDone, "") })
+	t.Run("that has stored the end", func(t *testing.T) {
+		fc, h, late := startedWithoutAnswer(t)
+		// A second task keeps the job, and the worker's holds are lost before they acknowledge the end.
+		fc.endRun("j1.0.0.0", CauseDone, "")
+		for fc.state("j1") != anviljob.Completed {
+			fc.advance(25, h)
+			fc.workers["w1"].loseHolds = fc.state("j1") == anviljob.Completed
+		}
+		h.paused, fc.workers["w1"].loseHolds = true, false
+		assertEqual(t, "the end is acknowledged", fc.acknowledged[late.task], false)
+		assertBarredAfterTakeover(t, fc, late, func() {})
+	})
+}
+
+// assertBarredAfterTakeover checks that a late start of a run that has ended is refused by the next process of w1 after a takeover.
+func assertBarredAfterTakeover(t *testing.T, fc *fakeCluster, late StartOrder, end func()) {
+	t.Helper()
 	next := fc.newHarness("e2")
 	fc.advance(takeoverTime, next)
 	assertEqual(t, "the new instance is leader", next.loop.leading(), true)
-	fc.endRun("j1.0.0.0", CauseDone, "")
+	end()
 	fc.advance(reactionTime, next)
 	assertEqual(t, "the end is acknowledged", fc.acknowledged[late.task], true)
 	fc.workers["w1"].restart()
--- a/entry/anvilscheduler/hold.go
+++ b/entry/anvilscheduler/hold.go
@@ -241,6 +241,7 @@
 			continue
 		}
 		last = max(last, e.number)
+		l.recordFormerStart(w, e)
 		l.processRunEnd(w, e)
 	}
 	if last > w.processed {
