anvilscheduler: wait for late starts at a restarted worker that is silent

The leader counted the longest lease from its notice of a restart. The task now waits for the last arrival and the longest lease, until the worker has accepted a raised token.

--- a/entry/anvilscheduler/restart.go
+++ b/entry/anvilscheduler/restart.go
@@ -81,6 +81,10 @@
 // arrive there.
 func (l *Loop) rebind(t *task, late bool) {
 	next := t.worker
+	if s, ok := next.lateStarts[startKey{t, t.run}]; ok && late {
+		// Until the worker has accepted a raised token, the start may arrive and grant the longest lease from then on.
+		t.lastStart = max(t.lastStart, s.at+lateOrderWindow)
+	}
 	switch t.machine.State() {
 	case taskPlaced:
 		if next.awaitsLateAck() {
--- a/entry/anvilscheduler/restartlease_test.go
+++ b/entry/anvilscheduler/restartlease_test.go
@@ -65,3 +65,26 @@
 	fc, h := startedAfterRestart(t, true, anviljob.WithLongRunning(true))
 	assertMovedAfterLease(t, fc, h)
 }
+
+// Guards against a second run while the first one runs: a start without an answer arrives at the next process of a worker seconds after
+// the leader has noticed the restart, and grants the longest lease from then on. The worker answers nothing.
+func TestLateStartAtSilentRestartedWorker(t *testing.T) {
+	fc, h := started(t, "w1")
+	fw := fc.workers["w1"]
+	fw.unreachable = true
+	fc.submit("j1", plainQueue, teamName, anviljob.NewStep(1, core(1), anviljob.WithEstimate(60_000)))
+	fc.advance(2*orderTimeout, h)
+	fc.restartWorker("w1")
+	fc.addWorker("w2", core(4))
+	fc.advance(5000, h)
+	task := h.loop.findTask(anviljob.NewTaskID("j1", 0, 0, 0))
+	fw.unreachable = false
+	late := StartOrder{task: task.id, run: task.run, token: h.loop.leadership.token, until: 1_000_000}
+	if _, err := fc.Start(t.Context(), NewTarget("w1", "w1:1"), late); err != nil {
+		t.Fatal(err)
+	}
+	fw.unreachable = true
+	fc.advanceWorking(3*maxWorkerLease, h)
+	assertRunning(t, fc, "j1.0.0.0")
+	assertEqual(t, "worker of the task", fc.workerOf("j1.0.0.0").id, "w2")
+}
