--- a/entry/anvilscheduler/exposure_test.go
+++ b/entry/anvilscheduler/exposure_test.go
@@ -41,10 +41,28 @@
 func TestOpenStartOfFormerLeader(t *testing.T) {
 	fc, h, late := startedWithoutAnswer(t)
 	h.paused = true
+	assertBarredAfterTakeover(t, fc, late, func() { fc.endRun("j1.0.0.0", CauseDone, "") })
+	t.Run("that has stored the end", func(t *testing.T) {
+		fc, h, late := startedWithoutAnswer(t)
+		// A second task keeps the job, and the worker's holds are lost before they acknowledge the end.
+		fc.endRun("j1.0.0.0", CauseDone, "")
+		for fc.state("j1") != anviljob.Completed {
+			fc.advance(25, h)
+			fc.workers["w1"].loseHolds = fc.state("j1") == anviljob.Completed
+		}
+		h.paused, fc.workers["w1"].loseHolds = true, false
+		assertEqual(t, "the end is acknowledged", fc.acknowledged[late.task], false)
+		assertBarredAfterTakeover(t, fc, late, func() {})
+	})
+}
+
+// assertBarredAfterTakeover checks that a late start of a run that has ended is refused by the next process of w1 after a takeover.
+func assertBarredAfterTakeover(t *testing.T, fc *fakeCluster, late StartOrder, end func()) {
+	t.Helper()
 	next := fc.newHarness("e2")
 	fc.advance(takeoverTime, next)
 	assertEqual(t, "the new instance is leader", next.loop.leading(), true)
-	fc.endRun("j1.0.0.0", CauseDone, "")
+	end()
 	fc.advance(reactionTime, next)
 	assertEqual(t, "the end is acknowledged", fc.acknowledged[late.task], true)
 	fc.workers["w1"].restart()
@@ -97,3 +115,25 @@
 	fc.advance(4*reactionTime, h)
 	assertEqual(t, "state of j2", fc.state("j2"), anviljob.Completed)
 }
+
+// Guards against tasks that wait for the longest lease after the loss of a worker that has not restarted, because an acknowledgement
+// to it got no answer.
+func TestLeaseAfterLateAck(t *testing.T) {
+	fc, h := startedWithAck(t)
+	fw, w := fc.workers["w1"], h.loop.fleet.byID["w1"]
+	fc.submit("j1", plainQueue, teamName, anviljob.NewStep(2, core(1), anviljob.WithEstimate(60_000)))
+	fc.advance(reactionTime, h)
+	fc.endRun("j1.0.0.0", CauseDone, "")
+	for w.acked == 1 {
+		fc.advance(25, h)
+	}
+	fw.loseHolds = true
+	fc.advance(100, h)
+	fw.loseHolds = false
+	fc.advance(2*reactionTime, h)
+	assertEqual(t, "the worker has a raised token", fw.token > h.loop.leadership.token, true)
+	latest := fc.clock.Now() + h.loop.leaseExpiryAfter(h.loop.grantedLease())
+	if w.leaseExpiry > latest {
+		t.Errorf("leases may last until %d, want %d at the latest", w.leaseExpiry, latest)
+	}
+}
