anvilscheduler: publish which new jobs have no capacity

The shortages are in its leadership row (left out when there are none), which all instances poll, so there are no further calls and no messages.

--- a/entry/anvilscheduler/bench_test.go
+++ b/entry/anvilscheduler/bench_test.go
@@ -57,3 +57,30 @@
 		}
 	}
 }
+
+// BenchmarkBacklog measures the search for shortages in a full pool, with 700 stages or more that wait.
+func BenchmarkBacklog(b *testing.B) {
+	for _, workers := range []int{350, 3000} {
+		b.Run(fmt.Sprintf("%d workers", workers), func(b *testing.B) {
+			fc := newFakeCluster(b, testPolicy())
+			for i := range workers {
+				fc.addWorker(fmt.Sprintf("w%04d", i), core(64))
+			}
+			h := fc.newHarness("e1")
+			fc.advance(firstClaimTime, h)
+			for i := range 700 + workers/10 {
+				fc.submit(fmt.Sprintf("a%04d", i), plainQueue, "", anviljob.NewStep(10, core(64), anviljob.WithEstimate(600)))
+			}
+			fc.advance(reactionTime, h)
+			l, now := h.loop, fc.clock.Now()
+			list := l.readyStages(now)
+			b.ReportMetric(float64(len(list)), "stages")
+			b.ResetTimer()
+			for b.Loop() {
+				p := &passState{loop: l, now: now, pools: map[string]*poolSnapshot{}}
+				l.workload.lastBacklog = 0
+				p.updateBacklog(list)
+			}
+		})
+	}
+}
--- a/entry/anvilscheduler/harness_test.go
+++ b/entry/anvilscheduler/harness_test.go
@@ -342,12 +342,17 @@
 }
 
 func (fc *fakeCluster) submitSpec(id, queue, team string, spec *anviljob.Spec) {
+	fc.t.Helper()
+	fc.submitSpecAt(id, queue, team, spec, fc.clock.Now())
+}
+
+func (fc *fakeCluster) submitSpecAt(id, queue, team string, spec *anviljob.Spec, at anvilclock.Millis) {
 	fc.t.Helper()
 	var opts []anvilstorage.SubmissionOption
 	if q, ok := fc.policy.Queue(queue); ok {
 		opts = append(opts, anvilstorage.WithQueue(q))
 	}
-	intake, err := anvilstorage.SubmissionRow(anviljob.NewSubmission(id, queue, team, fc.clock.Now(), spec), opts...)
+	intake, err := anvilstorage.SubmissionRow(anviljob.NewSubmission(id, queue, team, at, spec), opts...)
 	if err != nil {
 		fc.t.Fatal(err)
 	}
--- a/entry/anvilscheduler/leadership.go
+++ b/entry/anvilscheduler/leadership.go
@@ -113,7 +113,7 @@
 	}
 	newObservation := m.row.Version() != ls.rowVersion || ls.lastRead == 0 || m.since-ls.lastRead > anvilclock.Millis(l.pollInterval.Load())+maxPollDelay
 	if newObservation {
-		changed := ls.current.Addr() != current.Addr()
+		changed := l.applyBacklog(current.Backlog(), m.since) || ls.current.Addr() != current.Addr()
 		ls.rowVersion, ls.current, ls.unchangedSince = m.row.Version(), current, m.since
 		if changed {
 			l.publish()
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anviladmission"
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilevent"
 	"anvilhold.org/lib/anvilinvariant"
@@ -35,6 +36,7 @@
 	shuttingDown     bool
 	leaderAddr       string
 	connectivity     *Connectivity
+	backlog          *anviladmission.Backlog
 }
 
 // LeaderAddr returns the address of the leader; empty when it is not known or there is none.
@@ -139,6 +141,8 @@
 	connectivity     *Connectivity
 	// partitionDetected is closed when a partition from the store is detected, and replaced when it has ended.
 	partitionDetected chan struct{}
+	// backlog holds the shortages that this instance has found as the leader, or read from the leader.
+	backlog *anviladmission.Backlog
 }
 
 // Option sets an optional part of a Loop.
@@ -237,6 +241,16 @@
 // Connectivity returns the newest state of the network path to the store. It is safe for concurrent use.
 func (l *Loop) Connectivity() *Connectivity { return l.View().connectivity }
 
+// Backlog returns the shortages of capacity for new jobs, as the leader has last shown them; nil while there is no leader. It is
+// safe for concurrent use.
+func (l *Loop) Backlog() *anviladmission.Backlog {
+	v := l.View()
+	if v.leaderAddr == "" {
+		return nil
+	}
+	return v.backlog
+}
+
 // Directory returns the states of jobs that this instance knows. It is safe for concurrent use.
 func (l *Loop) Directory() *Directory { return l.directory }
 
@@ -364,6 +378,7 @@
 	l.view.Store(&View{
 		policy: l.state.policy, policyRowVersion: l.state.policyRowVersion, confirmed: l.state.confirmed, synced: l.state.synced,
 		shuttingDown: l.state.shuttingDown, leaderAddr: l.leadership.current.Addr(), connectivity: l.state.connectivity,
+		backlog: l.state.backlog,
 	})
 }
 
--- a/entry/anvilscheduler/pass.go
+++ b/entry/anvilscheduler/pass.go
@@ -62,6 +62,7 @@
 	}
 	list := l.readyStages(now)
 	p := &passState{loop: l, now: now, pools: map[string]*poolSnapshot{}}
+	p.updateBacklog(list)
 	for _, r := range list {
 		p.restoreReservation(r)
 	}
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -458,6 +458,9 @@
 		ran = now - t.startSent
 	}
 	w.health.recordEnd(e.cause, ran, t.stage.step.Estimate(), now)
+	if e.cause == CauseDone && t.startSent != 0 {
+		l.runLengthOf(t.stage.job.sub.Queue()).record(ran, t.stage.step.Estimate())
+	}
 	switch e.cause {
 	case CauseDone:
 		l.completeTask(t)
--- a/entry/anvilscheduler/workload.go
+++ b/entry/anvilscheduler/workload.go
@@ -27,6 +27,10 @@
 	usage map[string]anvilsize.Size
 	// shareBuckets holds the token bucket of each team.
 	shareBuckets map[string]*shareBucket
+	// lastBacklog is when the shortages of the pools were last looked for.
+	lastBacklog anvilclock.Millis
+	// runLengths holds the measured length of the runs of each queue.
+	runLengths map[string]*runLength
 	// lastQueues holds the newest configuration of each used queue, for the jobs of a queue that was removed.
 	lastQueues map[string]*anvilpolicy.Queue
 	// passRequested means that a pass is to run once passInterval has passed since the last one.
@@ -45,7 +49,7 @@
 		jobs: map[string]*job{}, ready: map[*stage]bool{}, timed: map[*job]bool{}, pendingCancels: map[string][]pendingCancel{},
 		cleaning: cleaning{removed: map[string]anvilclock.Millis{}},
 		usage:    map[string]anvilsize.Size{}, lastQueues: map[string]*anvilpolicy.Queue{},
-		shareBuckets: map[string]*shareBucket{},
+		shareBuckets: map[string]*shareBucket{}, runLengths: map[string]*runLength{},
 	}
 }
 
--- a/entry/anvilstorage/leadership.go
+++ b/entry/anvilstorage/leadership.go
@@ -22,6 +22,7 @@
 	extendsUntil anvilclock.Millis
 	boundedSince int64
 	first        int64
+	backlog      string
 }
 
 // NewLeadership returns a leadership; an empty leader means that the last leader has released it.
@@ -55,6 +56,15 @@
 	return l
 }
 
+// WithBacklog returns a copy with the leader's shortages of capacity, as the package anviladmission encodes them.
+func (l Leadership) WithBacklog(text string) Leadership {
+	l.backlog = text
+	return l
+}
+
+// Backlog returns the shortages of capacity that the leader has found; empty when there are none.
+func (l Leadership) Backlog() string { return l.backlog }
+
 // First returns the token with which the leadership began. The leader raises it for workers that restart.
 func (l Leadership) First() int64 {
 	if l.first == 0 {
@@ -79,12 +89,14 @@
 	Until  int64  `json:"until,omitempty"`
 	Since  int64  `json:"since,omitempty"`
 	First  int64  `json:"first,omitempty"`
+	Busy   string `json:"busy,omitempty"`
 }
 
 // LeadershipRow returns the row that stores a leadership.
 func LeadershipRow(l Leadership) (Row, error) {
 	value, err := json.Marshal(leadershipRow{
 		Leader: l.leader, Addr: l.addr, Token: l.token, Count: l.count, Until: int64(l.extendsUntil), Since: l.boundedSince, First: l.first,
+		Busy: l.backlog,
 	})
 	if err != nil {
 		return Row{}, fmt.Errorf("leadership: %w", err)
@@ -99,7 +111,7 @@
 		return Leadership{}, fmt.Errorf("leadership: %w", err)
 	}
 	out := NewLeadership(in.Leader, in.Addr, in.Token, in.Count)
-	return out.WithExtension(anvilclock.Millis(in.Until), in.Since).WithFirst(in.First), nil
+	return out.WithExtension(anvilclock.Millis(in.Until), in.Since).WithFirst(in.First).WithBacklog(in.Busy), nil
 }
 
 // Instance is an entry instance as it registers in the store for the others.
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -108,6 +108,7 @@
 	JobStateChanged       ID = 6204
 	JobCancelled          ID = 6205
 	JobAnswered           ID = 6206
+	SubmissionOverload    ID = 6207
 	RunPlaced             ID = 6301
 	StartRefused          ID = 6302
 	RunEnded              ID = 6303
@@ -122,6 +123,7 @@
 	AdviceFailed          ID = 6402
 	PassSummary           ID = 6403
 	PoolSummary           ID = 6404
+	BacklogChanged        ID = 6405
 )
 
 // Events of the configuration, the store and the other systems that the scheduler of jobs depends on,
@@ -224,6 +226,7 @@
 	{JobStateChanged, "job state", "The state of a job has changed."},
 	{JobCancelled, "job cancelled", "The leader has read a cancellation."},
 	{JobAnswered, "job answered", "A call about a job, other than a submission, had a result other than a state or a count."},
+	{SubmissionOverload, "job overload", "A submission is refused, because there is no capacity for the job while it has a value."},
 	{RunPlaced, "run placed", "The choice of a worker is stored and the start is sent."},
 	{StartRefused, "start refused", "A start was refused or got no answer."},
 	{RunEnded, "run ended", "A worker reports the end of a run."},
@@ -238,6 +241,7 @@
 	{AdviceFailed, "advice failed", "A query to the advisor failed or got no answer."},
 	{PassSummary, "pass summary", "Once a second: how many steps wait, and for what."},
 	{PoolSummary, "pool summary", "Once a second: the used and the total capacity of a pool."},
+	{BacklogChanged, "backlog changed", "The leader finds the first jobs for which there is no capacity while they have a value, or no more of them."},
 	{PolicyApplied, "policy applied", "A newer configuration of the platform is in force here."},
 	{RowUnreadable, "row unreadable", "A row or entry can't be decoded or encoded and is skipped."},
 	{StoreFailed, "store failed", "A transaction or a read of the store failed."},
