anvilintake: refuse jobs for which there is no capacity

Change: a submission that a shortage of its queue concerns gets the result "overloaded" (429 with Retry-After), after a read of the store has shown that the job isn't stored, and never after a commit without an answer.

--- a/entry/anvilintake/forward.go
+++ b/entry/anvilintake/forward.go
@@ -53,7 +53,7 @@
 		return r
 	}
 	switch r.result {
-	case Refused, Unauthorized, NoQueue:
+	case Refused, Overloaded, Unauthorized, NoQueue:
 		return Reply{result: Unknown, reason: r.reason}
 	default:
 		return r
--- a/entry/anvilintake/intake.go
+++ b/entry/anvilintake/intake.go
@@ -10,6 +10,7 @@
 
 	"anvilhold.org/entry/anvilscheduler"
 	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anviladmission"
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilevent"
 	"anvilhold.org/lib/anviljob"
@@ -28,6 +29,7 @@
 	View() *anvilscheduler.View
 	Connectivity() *anvilscheduler.Connectivity
 	Directory() *anvilscheduler.Directory
+	Backlog() *anviladmission.Backlog
 	UpdatePolicy(page anvilstorage.PolicyPage)
 	Clock() anvilclock.Clock
 }
@@ -59,12 +61,14 @@
 	log       *anvilevent.Log
 	meter     Meter
 	batch     *batcher
+	gate      *anviladmission.Gate
 }
 
 // New returns an intake. All arguments are required.
 func New(store Store, control Control, notifier Notifier, forwarder Forwarder, log *anvilevent.Log, meter Meter) *Intake {
 	return &Intake{
 		store: store, control: control, notifier: notifier, forwarder: forwarder, log: log, meter: meter, batch: newBatcher(store),
+		gate: anviladmission.NewGate(),
 	}
 }
 
@@ -102,9 +106,10 @@
 	NoJob                      // there is no such job
 	Unauthorized               // the key is not known
 	Invalid                    // the call is malformed or can never be carried out
+	Overloaded                 // nothing was done, because there is no capacity for the job while it has a value
 )
 
-var resultNames = [...]string{"accepted", "answered", "refused", "unknown", "no queue", "no job", "unauthorized", "invalid"}
+var resultNames = [...]string{"accepted", "answered", "refused", "unknown", "no queue", "no job", "unauthorized", "invalid", "overloaded"}
 
 // String returns the name that metrics, log lines and messages use; it panics for a value that isn't a constant above.
 func (r Result) String() string { return resultNames[r] }
@@ -144,7 +149,7 @@
 // Waiting returns the number of a queue's jobs that have not begun; set only by Intake.Waiting.
 func (r Reply) Waiting() int { return r.waiting }
 
-// Retry returns the delay after which a refused caller should retry; 0 when the result is not Refused.
+// Retry returns the delay after which a refused caller should retry; 0 when the result is neither Refused nor Overloaded.
 func (r Reply) Retry() anvilclock.Millis { return r.retry }
 
 // Call is a caller's request: the host and path that were called, and the caller's key.
@@ -260,6 +265,9 @@
 	if _, ok := in.control.Directory().Find(a.id); ok && in.configFresh(a.view) {
 		return Reply{result: Accepted}, false
 	}
+	if reply := in.overloaded(ctx, a, spec, *unknown); reply != nil {
+		return *reply, false
+	}
 	sub := anviljob.NewSubmission(a.id, a.queue.Name(), a.team, in.store.Now(), spec)
 	state := anvilstorage.NewJobState(a.id, a.queue.Name(), a.team, anviljob.Queued, 0)
 	rows, err := submission(sub, a.queue, state)
--- a/entry/anvilintake/intake_test.go
+++ b/entry/anvilintake/intake_test.go
@@ -11,6 +11,7 @@
 
 	"anvilhold.org/entry/anvilscheduler"
 	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anviladmission"
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilevent"
 	"anvilhold.org/lib/anviljob"
@@ -70,8 +71,11 @@
 	policyUpdates int
 	// connectivity overrides that of the loop when it is set.
 	connectivity atomic.Pointer[anvilscheduler.Connectivity]
+	backlog      *anviladmission.Backlog
 }
 
+func (c *control) Backlog() *anviladmission.Backlog { return c.backlog }
+
 func (c *control) Connectivity() *anvilscheduler.Connectivity {
 	if k := c.connectivity.Load(); k != nil {
 		return k
