anvilscheduler: bound waits for near places by what jobs may be without

Found by review: a long-running task waited up to 60 s beside an empty rack, a long task beside a mostly free pool for longer than a job may have nothing running, and each refused start elsewhere began a new wait. Waiting stages searched the whole pool in each pass, and demand for a rack was shared between pools.

Change: long-running tasks don't wait; in a pool under half use a wait ends after 2 s; a stage waits once; only the rack is searched until the next review; demand is counted by pool and rack.

Result: three new subtests of TestNearWait failed before and hold. The cost of a pass was not measured again.

--- a/entry/anvilscheduler/nearwait.go
+++ b/entry/anvilscheduler/nearwait.go
@@ -9,7 +9,8 @@
 	"anvilhold.org/lib/anvilsize"
 )
 
-// nearWait is the wait of a stage's tasks for places near their data or their gang.
+// nearWait is the wait of a stage's tasks for places near their data or their gang. A stage waits once: tasks whose start is
+// refused or whose run fails don't wait again.
 type nearWait struct {
 	// since is when the stage first left a place elsewhere; 0 while it has not.
 	since anvilclock.Millis
@@ -19,6 +20,12 @@
 	until anvilclock.Millis
 	// reviewAt is the time from which the places are estimated again.
 	reviewAt anvilclock.Millis
+	over     bool
+}
+
+// nearKey names the places that tasks wait for.
+type nearKey struct {
+	pool, rack string
 }
 
 // nearReviewInterval is the least time between two estimates of when near places become free. A place that is free is used
@@ -29,6 +36,9 @@
 // is stored, and the start is sent.
 const nearTurnover = anvilclock.Millis(100)
 
+// maxNearWait bounds a wait in a pool that is mostly free, where a job may not have nothing running for 3 s beside free capacity.
+const maxNearWait = anvilclock.Millis(2000)
+
 // nearWaits decides in one pass which tasks of a stage leave a place elsewhere.
 type nearWaits struct {
 	pass *passState
@@ -42,20 +52,35 @@
 
 func (p *passState) newNearWaits(r readyStage) *nearWaits { return &nearWaits{pass: p, r: r} }
 
+// waitsForPlaces reports whether tasks of a stage wait for places that are near. Long-running tasks never do: what they do
+// elsewhere is worth more than what they don't do while they wait.
+func (p *passState) waitsForPlaces(s *stage) bool {
+	return p.loop.locality.Enabled() && !s.step.LongRunning() && !s.near.over
+}
+
+// inForce reports whether the stage waits and its wait isn't to be reviewed yet.
+func (w nearWait) inForce(now anvilclock.Millis) bool {
+	return w.since != 0 && !w.over && now < w.reviewAt && now < w.until
+}
+
+// rack returns the rack on which alone places are looked for; empty for any.
+func (n *nearWaits) rack() string {
+	if n.r.stage.step.Gang() || !n.r.stage.near.inForce(n.pass.now) {
+		return ""
+	}
+	return n.r.stage.step.Rack()
+}
+
 // defers reports whether a task waits for a near place instead of starting at a candidate.
 func (n *nearWaits) defers(c *candidate) bool {
 	p, s := n.pass, n.r.stage
-	if s.step.Rack() == "" || !p.loop.locality.Enabled() {
+	if s.step.Rack() == "" || !p.waitsForPlaces(s) {
 		return false
 	}
 	if c.worker.hasLabel(s.step.Rack()) {
 		p.loop.observeNear(s, p.now)
 		return false
 	}
-	if s.near.since != 0 && p.now < s.near.reviewAt && p.now < s.near.until {
-		n.waiting++
-		return true
-	}
 	if n.places == nil {
 		n.places = p.nearPlaces(n.r)
 	}
@@ -63,7 +88,7 @@
 	if at, ok := placeAt(n.places, n.waiting, s.step.Estimate()); ok {
 		q = q.NearAt(at)
 	}
-	if !p.decideNear(s, q, n.places) {
+	if !p.decideNear(n.r, q, n.places) {
 		n.left++
 		return false
 	}
@@ -71,35 +96,41 @@
 	return true
 }
 
-// finish ends the stage's turn in the pass and returns how many of its tasks wait.
-func (n *nearWaits) finish() int {
+// deferRest makes all tasks of the stage that are left wait.
+func (n *nearWaits) deferRest() { n.waiting = n.r.stage.waiting }
+
+// finish ends the stage's turn in the pass and reports whether any of its tasks wait.
+func (n *nearWaits) finish() bool {
 	p, s := n.pass, n.r.stage
 	if n.waiting > 0 {
+		key := nearKey{n.r.queue.Pool(), s.step.Rack()}
 		p.shortages.near++
-		p.nearAhead[s.step.Rack()] = p.nearAhead[s.step.Rack()].Add(s.step.Reservation().Scale(int64(n.waiting)))
-		return n.waiting
+		p.nearAhead[key] = p.nearAhead[key].Add(s.step.Reservation().Scale(int64(n.waiting)))
+		return true
 	}
-	p.loop.endNearWait(s, p.now, n.left == 0)
-	return 0
+	if s.waiting == 0 {
+		p.loop.endNearWait(s, p.now, n.left == 0)
+	}
+	return false
 }
 
 // defersGang reports whether a gang waits for places on one rack instead of starting on several.
 func (p *passState) defersGang(r readyStage, plan []*candidate) bool {
 	s := r.stage
-	if !s.step.SameRack() || !p.loop.locality.Enabled() {
+	if !s.step.SameRack() || !p.waitsForPlaces(s) {
 		return false
 	}
 	if onOneRack(plan) {
 		p.loop.endNearWait(s, p.now, true)
 		return false
 	}
-	if s.near.since == 0 || p.now >= s.near.reviewAt || p.now >= s.near.until {
+	if !s.near.inForce(p.now) {
 		q := p.nearRequest(s, r)
 		at, ok := p.gangPlaceAt(r)
 		if ok {
 			q = q.NearAt(at)
 		}
-		if !p.decideNear(s, q, []anvilclock.Millis{at}) {
+		if !p.decideNear(r, q, []anvilclock.Millis{at}) {
 			p.loop.endNearWait(s, p.now, false)
 			return false
 		}
@@ -118,13 +149,13 @@
 	if since == 0 {
 		since = p.now
 	}
-	_, contended := p.nearAhead[s.step.Rack()]
+	_, contended := p.nearAhead[nearKey{r.queue.Pool(), s.step.Rack()}]
 	return anvillocality.NewRequest(p.now, since, s.step.Estimate(), r.urgency.latestStart).Contended(contended)
 }
 
 // decideNear decides whether a task or gang waits, and keeps the result in its stage. A wait that has ended is not resumed.
-func (p *passState) decideNear(s *stage, q anvillocality.Request, places []anvilclock.Millis) bool {
-	l := p.loop
+func (p *passState) decideNear(r readyStage, q anvillocality.Request, places []anvilclock.Millis) bool {
+	l, s := p.loop, r.stage
 	if s.near.since != 0 && p.now >= s.near.until {
 		return false
 	}
@@ -132,14 +163,22 @@
 	if !d.Waits() {
 		return false
 	}
+	until := d.Until()
+	if snap := p.pool(r.queue.Pool()); snap.used.Dominant(snap.capacity) < mostlyFreeUse {
+		begin := s.near.since
+		if begin == 0 {
+			begin = p.now
+		}
+		until = min(until, begin+maxNearWait)
+	}
 	if s.near.since == 0 {
-		s.near.since, s.near.until = p.now, d.Until()
+		s.near.since, s.near.until = p.now, until
 		s.near.expected = places[0] - p.now
 		l.log.Record(anvilevent.NearWaitStarted, "step", s.name(), "rack", s.step.Rack(), "expected", int64(s.near.expected),
-			"until", int64(d.Until()-p.now), "extra", int64(l.locality.Extra(s.step.Estimate())))
+			"until", int64(until-p.now), "extra", int64(l.locality.Extra(s.step.Estimate())))
 		l.meter.Count("near.wait")
 	}
-	s.near.until = min(s.near.until, d.Until())
+	s.near.until = min(s.near.until, until)
 	s.near.reviewAt = p.now + nearReviewInterval
 	return true
 }
@@ -154,7 +193,7 @@
 
 // endNearWait ends the wait of a stage, if it waits. near means that all its tasks got near places.
 func (l *Loop) endNearWait(s *stage, now anvilclock.Millis, near bool) {
-	if s.near.since == 0 {
+	if s.near.since == 0 || s.near.over {
 		return
 	}
 	waited, outcome := now-s.near.since, "elsewhere"
@@ -168,7 +207,8 @@
 	l.log.Record(anvilevent.NearWaitEnded, "step", s.name(), "rack", s.step.Rack(), "outcome", outcome, "waited", int64(waited))
 	l.meter.Count("near." + outcome)
 	l.meter.Observe("near.waited", waited.Duration())
-	s.near = nearWait{}
+	l.meter.Gauge("near.delay", int64(l.locality.Delay()*100))
+	s.near.over = true
 }
 
 // placeAt returns when the nth place, counted from 0, is expected to be free. Beyond the known places, each is expected to be
@@ -185,7 +225,7 @@
 func (p *passState) nearPlaces(r readyStage) []anvilclock.Millis {
 	s := r.stage
 	places := p.placesOn(r, s.step.Rack())
-	ahead := countSizes(p.nearAhead[s.step.Rack()], s.step.Reservation())
+	ahead := countSizes(p.nearAhead[nearKey{r.queue.Pool(), s.step.Rack()}], s.step.Reservation())
 	for n := range len(places) {
 		places[n], _ = placeAt(places, n+ahead, s.step.Estimate())
 	}
@@ -246,7 +286,7 @@
 	if len(p.nearAhead) == 0 || s.step.Rack() == c.worker.registration.rack {
 		return 0
 	}
-	if _, ok := p.nearAhead[c.worker.registration.rack]; ok {
+	if _, ok := p.nearAhead[nearKey{c.worker.registration.pool, c.worker.registration.rack}]; ok {
 		return contendedPenalty
 	}
 	return 0
@@ -254,6 +294,6 @@
 
 // queriesNear reports whether an advisor query for a stage names a worker without free capacity, since tasks may wait for it.
 func (p *passState) queriesNear(s *stage, c *candidate) bool {
-	return p.loop.locality.Enabled() && s.step.Rack() != "" && !s.step.Gang() && c.worker.hasLabel(s.step.Rack()) &&
+	return p.waitsForPlaces(s) && s.step.Rack() != "" && !s.step.Gang() && c.worker.hasLabel(s.step.Rack()) &&
 		!s.tickets.queried[c.worker] && s.step.Reservation().Fits(c.worker.registration.capacity)
 }
--- a/entry/anvilscheduler/nearwait_test.go
+++ b/entry/anvilscheduler/nearwait_test.go
@@ -113,6 +113,36 @@
 		fc.advance(2000, h)
 		assertRackOf(t, fc, "j1.0.0.0", farRack)
 	})
+	t.Run("a long-running task doesn't wait", func(t *testing.T) {
+		fc, h := startedOnRacks(t, 1, 600, penalty)
+		fc.submit("j1", plainQueue, teamName, anviljob.NewStep(1, core(rackCores), anviljob.WithEstimate(30_000), anviljob.WithRack(nearRack),
+			anviljob.WithLongRunning(true)))
+		fc.advance(reactionTime, h)
+		assertRackOf(t, fc, "j1.0.0.0", farRack)
+	})
+	t.Run("a long task beside free capacity", func(t *testing.T) {
+		fc, h := startedOnRacks(t, 3, 8000, penalty)
+		for i := range 2 {
+			fc.endRun(fmt.Sprintf("fill%d.0.0.0", i), CauseDone, "")
+		}
+		fc.submit("full", plainQueue, teamName, anviljob.NewStep(2, core(rackCores), anviljob.WithEstimate(8000), anviljob.WithLabel(nearRack)))
+		fc.advance(reactionTime, h)
+		fc.addWorker("w-free", core(8*rackCores), "kind", farRack)
+		fc.submitNear("j1", 30_000)
+		fc.advance(2*reactionTime, h)
+		assertRackOf(t, fc, "j1.0.0.0", "none")
+		fc.advance(maxNearWait, h)
+		assertRackOf(t, fc, "j1.0.0.0", farRack)
+	})
+	t.Run("a refused start begins no second wait", func(t *testing.T) {
+		fc, h := startedOnRacks(t, 1, 600, penalty)
+		fc.workers[farRack+"-0"].startFault = FaultUnavailable
+		fc.submitNear("j1", 1000)
+		fc.advance(2000, h)
+		fc.workers[farRack+"-0"].startFault = ""
+		fc.advance(2*reactionTime, h)
+		assertRackOf(t, fc, "j1.0.0.0", farRack)
+	})
 	t.Run("a new leader takes the decision again", func(t *testing.T) {
 		fc, h := startedOnRacks(t, 1, 600, penalty)
 		fc.submitNear("j1", 1000)
--- a/entry/anvilscheduler/pass.go
+++ b/entry/anvilscheduler/pass.go
@@ -45,8 +45,9 @@
 	// reservations counts the stages that have reserved capacity in the pass.
 	reservations int
 	shortages    shortageCounts
-	// nearAhead is, for each rack, the size of the tasks that wait for places there and are more urgent than the current stage.
-	nearAhead map[string]anvilsize.Size
+	// nearAhead is, for each rack of a pool, the size of the tasks that wait for places there and are more urgent than the
+	// current stage.
+	nearAhead map[nearKey]anvilsize.Size
 }
 
 // shortageCounts counts the stages that could not start all their tasks, by the first reason that was found.
@@ -65,7 +66,7 @@
 		return
 	}
 	list := l.readyStages(now)
-	p := &passState{loop: l, now: now, pools: map[string]*poolSnapshot{}, nearAhead: map[string]anvilsize.Size{}}
+	p := &passState{loop: l, now: now, pools: map[string]*poolSnapshot{}, nearAhead: map[nearKey]anvilsize.Size{}}
 	p.updateBacklog(list)
 	for _, r := range list {
 		p.restoreReservation(r)
--- a/entry/anvilscheduler/place.go
+++ b/entry/anvilscheduler/place.go
@@ -23,7 +23,15 @@
 		}
 		return true
 	}
-	deferrable, waits := p.deferrable(r), p.newNearWaits(r)
+	waits := p.newNearWaits(r)
+	blocked := l.placeTasks(p, r, waits)
+	return waits.finish() || blocked
+}
+
+// placeTasks binds the tasks of a stage that fit and don't wait for near places, and reports whether the remaining ones lack
+// only capacity or tickets.
+func (l *Loop) placeTasks(p *passState, r readyStage, waits *nearWaits) bool {
+	snap, deferrable := p.pool(r.queue.Pool()), p.deferrable(r)
 	for _, t := range r.stage.tasks {
 		if t.machine.State() != taskWaiting {
 			continue
@@ -36,7 +44,12 @@
 			p.shortages.capacity++
 			return false
 		}
-		c := p.choose(r, t, true, "")
+		rack := waits.rack()
+		c := p.choose(r, t, true, rack)
+		if c == nil && rack != "" {
+			waits.deferRest()
+			return true
+		}
 		if c == nil {
 			reserved := p.reserveForTickets(r)
 			p.countShortage(r, reserved)
@@ -51,7 +64,7 @@
 		l.place(t, c.worker)
 		snap.used = snap.used.Add(r.stage.step.Reservation())
 	}
-	return waits.finish() > 0
+	return false
 }
 
 // reserveForTickets reserves capacity at approved workers for tasks that only lack a valid ticket, and reports whether
