--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,8 @@
 
 test: all
 	go test $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $(addprefix ./,$(addsuffix /...,$(MODULES)))
+	@# These tests measure memory, so they run one at a time and apart from the others.
+	ANVIL_CROWD=1 go test -p 1 -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./load/anvilcrowd
 	@# The documentation pages are outside the modules, so the test cache does not notice that they change.
 	go test -count=1 -run Page ./lib/anvilevent ./lib/anvilerror ./entry/anvilfront
 
