anvillistener: read one request at a time within a budget of the process

A gate now lies between the socket and the parser. Sockets are edge-triggered, so that a connection that isn't read costs nothing. The gate reserves memory as bytes arrive, hands the parser one request at a time, and reads on once the client has read the answer. A chart has the states of a connection. A body without a route, a body over the limit and too many header lines are refused from the header. When the budget is used up, connections without progress are refused first, then the largest. A listener that is full closes its idlest connection for a new one. Refusals are counted by reason and logged as event 4103 at most every 10 s. Connections with TLS pass the same gate, and are no longer closed without a response to a request that can't be parsed. anvilentry has the settings memory, lines and fields.

--- a/entry/anvilfront/front.go
+++ b/entry/anvilfront/front.go
@@ -46,6 +46,8 @@
 	defaultHeaders  = 16 << 10
 	defaultConns    = 2000
 	defaultInFlight = 1000
+	// defaultFields is several times what a submission can have.
+	defaultFields = 1000
 
 	defaultWait anvilclock.Millis = 2000
 	// callTimeout is the longest wait for the result of a service request.
@@ -65,6 +67,10 @@
 	bootstrap    string
 	maxBody      int
 	maxHeaders   int
+	maxLines     int
+	maxFields    int
+	memory       *anvillistener.Memory
+	onLimit      func(anvillistener.Refusal)
 	maxConns     int
 	defaultWait  anvilclock.Millis
 	callTimeout  time.Duration
@@ -93,6 +99,17 @@
 	return func(f *Front) { f.maxBody, f.maxHeaders = body, headers }
 }
 
+// WithMemory sets the budget for requests and answers of the process. The default is one for the smallest machine.
+func WithMemory(m *anvillistener.Memory) Option { return func(f *Front) { f.memory = m } }
+
+// WithFieldLimits limits the header lines of a request and the members of the JSON value in a body.
+func WithFieldLimits(lines, fields int) Option {
+	return func(f *Front) { f.maxLines, f.maxFields = lines, fields }
+}
+
+// WithOnLimit sets a function that is called with the reason when a client is refused by a limit. It must not block.
+func WithOnLimit(l func(anvillistener.Refusal)) Option { return func(f *Front) { f.onLimit = l } }
+
 // WithConnLimits limits the number of open connections and of requests in flight.
 func WithConnLimits(conns, inFlight int) Option {
 	return func(f *Front) { f.maxConns, f.inFlight = conns, make(chan struct{}, inFlight) }
@@ -117,6 +134,7 @@
 func New(state func() State, dispatcher Dispatcher, opts ...Option) *Front {
 	f := &Front{
 		state: state, dispatcher: dispatcher, clock: anvilclock.NewSystem(), maxBody: defaultBody, maxHeaders: defaultHeaders,
+		maxFields: defaultFields, onLimit: func(anvillistener.Refusal) {},
 		maxConns: defaultConns, inFlight: make(chan struct{}, defaultInFlight), defaultWait: defaultWait,
 		callTimeout: callTimeout, queryTimeout: queryTimeout, idleTimeout: anvillistener.DefaultIdle, mux: http.NewServeMux(),
 	}
@@ -135,7 +153,13 @@
 	opts := []anvillistener.Option{
 		anvillistener.WithClock(f.clock), anvillistener.WithSizeLimits(f.maxBody, f.maxHeaders),
 		anvillistener.WithConnLimits(f.maxConns, cap(f.inFlight)), anvillistener.WithIdle(f.idleTimeout), anvillistener.WithDrain(f.drain),
-		anvillistener.WithParseErrorResponse(parseErrorResponse), anvillistener.WithOnReject(func() { connections.Add("refused", 1) }),
+		anvillistener.WithAdmission(f.admit), anvillistener.WithRefusals(f.refuseUnread), anvillistener.WithOnLimit(f.countLimit),
+	}
+	if f.memory != nil {
+		opts = append(opts, anvillistener.WithMemory(f.memory))
+	}
+	if f.maxLines > 0 {
+		opts = append(opts, anvillistener.WithHeaderLines(f.maxLines))
 	}
 	if f.certs != nil {
 		opts = append(opts, anvillistener.WithCertificates(f.certs))
@@ -143,16 +167,6 @@
 	return anvillistener.New(addr, f.Handler(), opts...)
 }
 
-// parseErrorResponse returns the raw HTTP response to a request that can't be parsed.
-func parseErrorResponse(tooLong bool) []byte {
-	out := errorReply(badInput("the request can't be parsed"))
-	if tooLong {
-		out = errorReply(tooLarge("the request is too long"))
-	}
-	recordReply("other", out, 0)
-	return out.raw()
-}
-
 // Leave makes /health and /ready report a planned stop, and each response close its connection. Requests are still
 // served.
 func (f *Front) Leave() { f.leaving.Store(true) }
--- a/entry/anvilfront/metrics.go
+++ b/entry/anvilfront/metrics.go
@@ -18,6 +18,8 @@
 	codes       = expvar.NewMap("codes")
 	connections = expvar.NewMap("connections")
 	latency     = newLatencyHistogram()
+	// clientLimits counts the requests and connections that a limit has ended, by reason.
+	clientLimits = expvar.NewMap("limits")
 )
 
 func init() { expvar.Publish("latency", expvar.Func(latency.report)) }
--- a/entry/anvilfront/reply.go
+++ b/entry/anvilfront/reply.go
@@ -35,6 +35,8 @@
 const (
 	// overloadRetryDelay is about the time that the requests in flight take to complete.
 	overloadRetryDelay anvilclock.Millis = 200
+	// memoryRetryDelay gives the connections without progress time to be closed.
+	memoryRetryDelay anvilclock.Millis = 1000
 	// startRetryDelay is the retry delay while the instance has no confirmed configuration: the interval at which it
 	// reads the configuration.
 	startRetryDelay anvilclock.Millis = 500
--- a/entry/anvilfront/tasks.go
+++ b/entry/anvilfront/tasks.go
@@ -10,6 +10,7 @@
 	"anvilhold.org/entry/anvilcodec"
 	"anvilhold.org/entry/anvilcontrol"
 	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anvildocument"
 	"anvilhold.org/lib/anvilerror"
 	"anvilhold.org/lib/anvilsize"
 	"anvilhold.org/lib/anviltask"
@@ -21,6 +22,8 @@
 	maxCount = 4096
 	// maxAmount bounds each dimension of a size, as anvilsize.Parse does.
 	maxAmount = 1_000_000_000
+	// maxDepth bounds how deep a submission is nested.
+	maxDepth = 16
 	// maxRun bounds a declared run time or deadline to one year.
 	maxRun anvilclock.Millis = 366 * 24 * 3600 * 1000
 )
@@ -64,6 +67,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, err := anvildocument.Measure(body, anvildocument.NewLimits(f.maxFields, 0, maxDepth)); err != nil {
+		return nil, badInput(err.Error())
+	}
 	var spec anvilwire.Spec
 	if err := protojson.Unmarshal(body, &spec); err != nil {
 		return nil, badInput(err.Error())
--- a/entry/anvillistener/server.go
+++ b/entry/anvillistener/server.go
@@ -12,8 +12,10 @@
 	"github.com/lesismal/llib/std/crypto/tls"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"anvilhold.org/lib/anvilchart"
 	"anvilhold.org/lib/anvilclock"
 )
 
@@ -40,28 +42,34 @@
 // closes a connection without a response if it can't parse a request, and closes connections whose responses are still
 // being written when it stops.
 type Server struct {
-	addr               string
-	handler            http.Handler
-	clock              anvilclock.Clock
-	maxBody            int
-	maxHeaders         int
-	maxConns           int
-	maxInFlight        int
-	idleTimeout        time.Duration
-	writeTimeout       time.Duration
-	drain              func(context.Context) error
-	parseErrorResponse func(tooLong bool) []byte
-	onReject           func()
-	certs              Certificates
-	engine             *nbhttp.Engine
-	descriptors        descriptors
-	listener           net.Listener
-	acceptLoop         sync.WaitGroup
-	tls                *tls.Config
-	mu                 sync.Mutex
-	conns              map[string]connection
-	stopped            bool
-	empty              chan struct{} // closed once the server is stopped and has no open connections
+	addr           string
+	handler        http.Handler
+	clock          anvilclock.Clock
+	maxBody        int
+	maxHeaders     int
+	maxConns       int
+	maxInFlight    int
+	idleTimeout    time.Duration
+	writeTimeout   time.Duration
+	drain          func(context.Context) error
+	maxHeaderLines int
+	bodyLimit      func() int
+	memory         *Memory
+	admit          func(*http.Request) []byte
+	refusal        func(Refusal, *http.Request) []byte
+	onLimit        func(Refusal)
+	chart          *anvilchart.Chart
+	binding        *anvilchart.Binding[*gate]
+	certs          Certificates
+	engine         *nbhttp.Engine
+	descriptors    descriptors
+	listener       net.Listener
+	acceptLoop     sync.WaitGroup
+	tls            *tls.Config
+	mu             sync.Mutex
+	conns          map[string]connection
+	stopped        bool
+	empty          chan struct{} // closed once the server is stopped and has no open connections
 }
 
 // connection is a client connection. lastUsed is when data arrived or a request began or ended, and busy whether a
@@ -78,8 +86,14 @@
 	defaultHeaders  = 16 << 10
 	defaultConns    = 2000
 	defaultInFlight = 1000
+	// defaultHeaderLines is several times what proxies and clients send together.
+	defaultHeaderLines = 200
+	// smallBuffer is the size up to which the library's pool keeps buffers.
+	smallBuffer = 4 << 10
 )
 
+var limitPool sync.Once
+
 // Option configures a Server.
 type Option func(*Server)
 
@@ -102,14 +116,28 @@
 // WithDrain sets a function that Stop calls to wait for the requests in flight.
 func WithDrain(f func(context.Context) error) Option { return func(s *Server) { s.drain = f } }
 
-// WithParseErrorResponse sets the function that returns the raw HTTP response to a request that is too long or can't be
-// parsed otherwise. The default is a 400 without a body.
-func WithParseErrorResponse(f func(tooLong bool) []byte) Option {
-	return func(s *Server) { s.parseErrorResponse = f }
+// WithHeaderLines limits the number of header lines of a request.
+func WithHeaderLines(n int) Option { return func(s *Server) { s.maxHeaderLines = n } }
+
+// WithBodyLimit sets a function that returns the present limit of a body in bytes. It applies below the one of
+// WithSizeLimits.
+func WithBodyLimit(f func() int) Option { return func(s *Server) { s.bodyLimit = f } }
+
+// WithMemory sets the budget of the process. The default is a budget of the listener's own for a machine of DefaultMemory.
+func WithMemory(m *Memory) Option { return func(s *Server) { s.memory = m } }
+
+// WithAdmission sets a function that decides on a request with a body from its header, before the body is read. It
+// returns the raw HTTP response to a request that is refused, or nil. It must not block, nor keep or change the request.
+func WithAdmission(f func(*http.Request) []byte) Option { return func(s *Server) { s.admit = f } }
+
+// WithRefusals sets the function that returns the raw HTTP response to a request that is refused, which has not reached the
+// handler. The request has no body; it is nil if its first line can't be parsed.
+func WithRefusals(f func(Refusal, *http.Request) []byte) Option {
+	return func(s *Server) { s.refusal = f }
 }
 
-// WithOnReject sets a function that is called for each connection over the limit, on the accepting goroutine.
-func WithOnReject(f func()) Option { return func(s *Server) { s.onReject = f } }
+// WithOnLimit sets a function that is called for each request and connection that is refused. It must not block.
+func WithOnLimit(f func(Refusal)) Option { return func(s *Server) { s.onLimit = f } }
 
 // New returns a Server that listens on addr once it is started.
 func New(addr string, handler http.Handler, opts ...Option) *Server {
@@ -119,25 +147,38 @@
 		addr: addr, handler: handler, clock: anvilclock.NewSystem(), maxBody: defaultBody, maxHeaders: defaultHeaders,
 		maxConns: defaultConns, maxInFlight: defaultInFlight, idleTimeout: DefaultIdle,
 		writeTimeout: defaultWrite, conns: map[string]connection{}, empty: make(chan struct{}),
-		drain: func(context.Context) error { return nil },
-		parseErrorResponse: func(bool) []byte {
-			return []byte("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-		},
-		onReject: func() {},
+		drain:          func(context.Context) error { return nil },
+		maxHeaderLines: defaultHeaderLines, admit: func(*http.Request) []byte { return nil }, refusal: plainRefusal,
+		onLimit: func(Refusal) {}, binding: bindConnection(),
 	}
+	s.bodyLimit = func() int { return s.maxBody }
 	for _, opt := range opts {
 		opt(s)
 	}
+	if s.memory == nil {
+		s.memory = NewMemory(0, s.clock)
+	}
 	if s.certs != nil {
 		s.tls = tlsConfig(s.certs)
 	}
+	// The pool of the library keeps buffers of any size.
+	limitPool.Do(func() { mempool.DefaultMemPool = mempool.New(smallBuffer, smallBuffer) })
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Network: "tcp", NPoller: 1, Handler: s.trackBusy(handler), MaxHTTPBodySize: s.maxBody + 1, ReadLimit: s.maxBody + s.maxHeaders + parserOverhead,
+		Network: "tcp", NPoller: 1, EpollMod: nbio.EPOLLET, ReadBufferSize: readSize, Handler: s.trackBusy(handler), MaxHTTPBodySize: s.maxBody + 1, ReadLimit: s.maxBody + s.maxHeaders + parserOverhead,
 		MessageHandlerPoolSize: s.maxInFlight + spareHandlers, KeepaliveTime: s.idleTimeout,
 	})
 	s.engine.OnClose(func(c net.Conn, err error) {
 		s.descriptors.closed(c, err)
 		s.unregister(c)
+		if g, ok := session(c); ok {
+			g.closed()
+		}
+	})
+	s.engine.OnRead(s.readable)
+	s.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
+		if g, ok := session(c); ok {
+			g.wrote(n)
+		}
 	})
 	return s
 }
@@ -145,6 +186,9 @@
 // Start opens the listener and serves connections on other goroutines.
 func (s *Server) Start() error {
 	var err error
+	if s.chart, err = loadConnection(s.binding); err != nil {
+		return err
+	}
 	if s.listener, err = net.Listen("tcp", s.addr); err != nil {
 		return err
 	}
@@ -186,7 +230,7 @@
 
 func (s *Server) serveConn(raw net.Conn) {
 	if !s.register(raw) {
-		s.onReject()
+		s.onLimit(Connections)
 		_ = raw.Close()
 		return
 	}
@@ -197,26 +241,15 @@
 		return
 	}
 	s.descriptors.use(c)
-	if s.tls != nil {
-		s.register(c)
-		s.serveTLS(c)
-		s.setIdleDeadline(c)
-		return
-	}
-	parser := nbhttp.NewParser(c, s.engine, nbhttp.NewServerProcessor(), false, c.Execute)
-	c.SetSession(parser)
-	c.OnData(func(c *nbio.Conn, data []byte) {
-		s.touch(c)
-		if err := parser.Parse(data); err != nil {
-			s.rejectUnparsed(c, err)
-		}
-	})
+	g := s.newGate(c)
+	c.SetSession(g)
 	// The poller's goroutine first uses the connection in touch. Both register and touch lock mu, which orders the steps
 	// above before that use.
 	s.register(c)
 	if _, err := s.engine.AddConn(c); err != nil {
 		s.unregister(c)
 		_ = c.Close()
+		g.closed()
 		return
 	}
 	s.setIdleDeadline(c)
@@ -234,13 +267,33 @@
 	_ = c.SetReadDeadline(deadline)
 }
 
-// rejectUnparsed responds to a request that can't be parsed, after the responses to earlier requests, and discards the
-// data that follows.
-func (s *Server) rejectUnparsed(c *nbio.Conn, err error) {
-	c.OnData(func(*nbio.Conn, []byte) {})
-	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
-	out := s.parseErrorResponse(errors.Is(err, nbhttp.ErrTooLong))
-	c.MustExecute(func() { _, _ = c.Write(out) })
+func (s *Server) limitBody() int { return min(s.bodyLimit(), s.maxBody) }
+
+// session returns the gate of a connection. The probe of descriptors has none.
+func session(c net.Conn) (*gate, bool) {
+	nc, ok := c.(*nbio.Conn)
+	if !ok {
+		return nil, false
+	}
+	g, ok := nc.Session().(*gate)
+	return g, ok
+}
+
+// readable is called on the poller's goroutine when there is new data for a connection.
+func (s *Server) readable(c *nbio.Conn) {
+	s.touch(c)
+	if g, ok := session(c); ok {
+		g.readable()
+		return
+	}
+	data := make([]byte, 1)
+	for {
+		n, err := c.Read(data)
+		if n <= 0 || err != nil {
+			return
+		}
+		c.DataHandler()(c, data[:n])
+	}
 }
 
 // register adds a connection and reports whether the limit allowed it. A connection with a known address replaces the
@@ -249,13 +302,32 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	addr := c.RemoteAddr().String()
-	if _, known := s.conns[addr]; !known && (s.stopped || len(s.conns) >= s.maxConns) {
+	if _, known := s.conns[addr]; !known && (s.stopped || len(s.conns) >= s.maxConns && !s.closeIdlest()) {
 		return false
 	}
 	s.conns[addr] = connection{conn: c, lastUsed: s.clock.Now()}
 	return true
 }
 
+// closeIdlest closes the connection that has been unused for the longest time, if that is at least minIdleTime and it has
+// no request that is handled. The caller holds mu.
+func (s *Server) closeIdlest() bool {
+	now := s.clock.Now()
+	oldest, found := connection{lastUsed: now - minIdleTime + 1}, ""
+	for addr, c := range s.conns {
+		if !c.busy && c.lastUsed < oldest.lastUsed {
+			oldest, found = c, addr
+		}
+	}
+	if found == "" {
+		return false
+	}
+	delete(s.conns, found)
+	s.onLimit(Idle)
+	_ = oldest.conn.Close()
+	return true
+}
+
 // touch records that data arrived on a connection.
 func (s *Server) touch(c net.Conn) {
 	s.mu.Lock()
--- a/entry/anvillistener/tls.go
+++ b/entry/anvillistener/tls.go
@@ -4,8 +4,6 @@
 	std "crypto/tls"
 
 	"github.com/lesismal/llib/std/crypto/tls"
-	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/nbhttp"
 )
 
 // Certificates provides the certificate for each handshake. Handshakes run on several goroutines.
@@ -27,8 +25,3 @@
 		},
 	}
 }
-
-// serveTLS passes a connection to nbhttp, which closes it without a response if a request can't be parsed.
-func (s *Server) serveTLS(c *nbio.Conn) {
-	s.engine.AddConnTLSNonBlocking(&nbhttp.Conn{Conn: c}, s.tls, func() {})
-}
--- a/entry/node.go
+++ b/entry/node.go
@@ -23,6 +23,7 @@
 	"anvilhold.org/entry/anvilpeer"
 	"anvilhold.org/entry/anvilsetting"
 	"anvilhold.org/entry/anviltable"
+	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilevent"
 	"anvilhold.org/lib/anvilinvariant"
 )
@@ -88,13 +89,19 @@
 }
 
 func (n *node) frontOptions() []anvilfront.Option {
-	limits := n.settings.Limits()
+	limits, events := n.settings.Limits(), anvilevent.New(n.log)
+	reporter := anvillistener.NewReporter(anvilclock.NewSystem(), func(why anvillistener.Refusal, count int64) {
+		events.Record(anvilevent.ClientsLimited, "reason", string(why), "count", count)
+	})
 	opts := []anvilfront.Option{
 		anvilfront.WithInspector(dispatcher{inbox: n.inbox}),
 		anvilfront.WithBootstrap(n.settings.Security().Bootstrap()),
 		anvilfront.WithSizeLimits(limits.Body(), limits.Headers()),
 		anvilfront.WithConnLimits(limits.Connections(), limits.MaxInFlight()),
 		anvilfront.WithDefaultWait(limits.Wait()),
+		anvilfront.WithFieldLimits(limits.HeaderLines(), limits.Fields()),
+		anvilfront.WithMemory(anvillistener.NewMemory(limits.Memory(), anvilclock.NewSystem())),
+		anvilfront.WithOnLimit(reporter.Record),
 	}
 	if n.certs != nil {
 		opts = append(opts, anvilfront.WithCertificates(n.certs))
@@ -128,6 +135,9 @@
 	}
 }
 
+// maxPeerConns bounds the connections of other entry instances, each of which opens a few.
+const maxPeerConns = 1024
+
 // start opens the listeners and starts the control loop.
 func (n *node) start() error {
 	listener, err := net.Listen("tcp", n.settings.Listen().Peer())
@@ -139,7 +149,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
-	n.background(func() error { return n.peerServer.Serve(listener) })
+	n.background(func() error { return n.peerServer.Serve(anvillistener.LimitConns(listener, maxPeerConns)) })
 	n.background(func() error { return n.loop.Run(ctx) })
 	n.background(func() error {
 		n.table.Register(ctx, n.self, func() bool { return n.front.Leaving() }, n.log)
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -65,6 +65,7 @@
 	ConfigOutage      ID = 4006
 	AllocationChanged ID = 4101
 	AllocationRefused ID = 4102
+	ClientsLimited    ID = 4103
 )
 
 // Events of failures of the table and of faults in anvilhold itself.
@@ -199,6 +200,7 @@
 	{ConfigOutage, "configuration outage", "Neither this instance nor any known peer reaches the table; the configuration stays in force."},
 	{AllocationChanged, "part moved", "A transfer changed the allocations of a team's limit in the table."},
 	{AllocationRefused, "part refused", "A transfer of a team's allocations conflicted with a newer row in the table."},
+	{ClientsLimited, "clients limited", "A limit has refused requests or closed connections of callers; the line has the reason and the number since its last line."},
 	{TableFailed, "table failed", "A write to the table was refused or got no answer."},
 	{ChartRefused, "chart refused event", "An event occurred for which no transition of the chart's current state applies."},
 	{LeadershipClaimed, "tenure claimed", "This instance claims the leadership, which is vacant, was not renewed in time or ended early."},
