--- a/entry/anvillink/server.go
+++ b/entry/anvillink/server.go
@@ -27,6 +27,11 @@
 	// keepaliveTime and keepaliveTimeout detect connections whose peer failed without closing them.
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 2 * time.Second
+	// preambleTimeout bounds the time until a connection has sent its preamble.
+	preambleTimeout = 5 * time.Second
+	// maxStreams and maxHeaders bound what one connection sends at once; instances send far less.
+	maxStreams = 1024
+	maxHeaders = 16 << 10
 )
 
 // Control is what the server uses of this instance's control loop. Several goroutines call it.
@@ -59,6 +64,7 @@
 // NewServer returns a server, which Serve starts. It relays notifications over links.
 func NewServer(a Advisor, c Control, d Decider, links *Links) *Server {
 	s := grpc.NewServer(
+		grpc.ConnectionTimeout(preambleTimeout), grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeaders),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	)
--- a/entry/anvilpeer/server.go
+++ b/entry/anvilpeer/server.go
@@ -19,6 +19,9 @@
 // maxStreams bounds the requests in flight from one entry instance.
 const maxStreams = 4096
 
+// preambleTimeout bounds the time until a connection has sent its preamble.
+const preambleTimeout = 5 * time.Second
+
 // TaskHandler handles requests of other entry instances about tasks. The methods don't block: they return false if the
 // request was not accepted, and otherwise the result is sent to reply.
 type TaskHandler interface {
@@ -42,6 +45,7 @@
 func NewServer(tasks TaskHandler, state StateHandler, creds credentials.TransportCredentials) *Server {
 	opts := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage), grpc.MaxConcurrentStreams(maxStreams),
+		grpc.ConnectionTimeout(preambleTimeout),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	}
