--- a/entry/anvilintake/check.go
+++ b/entry/anvilintake/check.go
@@ -8,3 +8,13 @@
 	}
 	return Reply{result: Answered}
 }
+
+// Stored reports whether the job that a call names is known here to be stored. It doesn't block.
+func (in *Intake) Stored(c Call) bool {
+	a, rejection := in.admit(c)
+	if rejection != nil || a.id == "" {
+		return false
+	}
+	_, ok := in.control.Directory().Find(a.id)
+	return ok
+}
--- a/entry/anvillistener/gate.go
+++ b/entry/anvillistener/gate.go
@@ -265,6 +265,7 @@
 		g.abort()
 		return
 	}
+	_ = g.conn.SetWriteDeadline(time.Now().Add(g.server.writeTimeout))
 	g.waiting.Store(true)
 	// The last bytes may have been written before that.
 	g.continueIfRead(g.unread.Load())
@@ -274,6 +275,8 @@
 func (g *gate) written() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	// nbio clears the deadline only when a write takes everything at once.
+	_ = g.conn.SetWriteDeadline(time.Time{})
 	g.fire("written")
 	g.pump()
 }
--- a/entry/anvillistener/refusal.go
+++ b/entry/anvillistener/refusal.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// plainRefusal returns a response without a body that closes the connection.
-func plainRefusal(r Refusal, _ *http.Request) []byte {
+// PlainRefusal returns a response without a body that closes the connection.
+func PlainRefusal(r Refusal, _ *http.Request) []byte {
 	if r == Overloaded {
 		return PlainResponse(r.Status(), "Retry-After", fmt.Sprint(refusalRetrySeconds))
 	}
--- a/entry/anvillistener/server.go
+++ b/entry/anvillistener/server.go
@@ -25,7 +25,7 @@
 	spareHandlers = 64
 	// DefaultIdle is longer than the usual idle timeouts of load balancers, which must close connections first.
 	DefaultIdle = 75 * time.Second
-	// defaultWrite bounds the time to write a response, from the end of its handler.
+	// defaultWrite bounds the time to write what the socket doesn't take of a response at the end of its handler.
 	defaultWrite = 10 * time.Second
 	// parserOverhead is added to the parser's limit for the request line and the framing, so that a request at its
 	// limits reaches the handler.
@@ -148,7 +148,7 @@
 		maxConns: defaultConns, maxInFlight: defaultInFlight, idleTimeout: DefaultIdle,
 		writeTimeout: defaultWrite, conns: map[string]connection{}, empty: make(chan struct{}),
 		drain:          func(context.Context) error { return nil },
-		maxHeaderLines: defaultHeaderLines, admit: func(*http.Request) []byte { return nil }, refusal: plainRefusal,
+		maxHeaderLines: defaultHeaderLines, admit: func(*http.Request) []byte { return nil }, refusal: PlainRefusal,
 		onLimit: func(Refusal) {}, binding: bindConnection(),
 	}
 	s.bodyLimit = func() int { return s.maxBody }
@@ -405,8 +405,7 @@
 }
 
 // setBusy records whether a request is being handled on a connection. At the start of a request it clears the idle
-// deadline, and at its end it sets the deadline for writing the response. nbhttp would set that one when the request
-// arrives, and close the connection of a request that takes longer.
+// deadline.
 func (s *Server) setBusy(addr string, busy bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -418,7 +417,5 @@
 	s.conns[addr] = c
 	if busy {
 		_ = c.conn.SetReadDeadline(time.Time{})
-		return
 	}
-	_ = c.conn.SetWriteDeadline(time.Now().Add(s.writeTimeout))
 }
