anvillistener: keep unfinished bodies in segments

The parser keeps an unfinished body in a buffer that grows by a quarter at a time, and the collector was behind with the earlier versions. Bodies of known length now wait in segments and reach the parser in one piece. In chunks, where the parser's buffer remains, four times the bytes are reserved, and a complete body reserves what its handler copies and decodes.

A request that waits for a goroutine of the handlers no longer counts as idle.

--- a/entry/anvillistener/gate.go
+++ b/entry/anvillistener/gate.go
@@ -50,6 +50,7 @@
 	// pending has been read from the socket and not been parsed.
 	pending   []byte
 	request   *request
+	body      segments
 	job       func() // the handler's call
 	read      int    // bytes of the request
 	reserved  int    // header lines for which memory is reserved
@@ -167,7 +168,11 @@
 			return
 		}
 	}
-	if !g.server.memory.reserve(g.holder, bodyCopies*int64(len(data))) {
+	copies := int64(bodyCopies)
+	if g.request.chunked {
+		copies = chunkedCopies
+	}
+	if !g.server.memory.reserve(g.holder, copies*int64(len(data))) {
 		g.refuseLocked(Overloaded)
 		return
 	}
@@ -191,16 +196,27 @@
 func (g *gate) feed(data []byte) {
 	r := g.request
 	for first := true; len(data) > 0 && g.machine.State() == "reading"; first = false {
+		inBody := r.remaining > 0 && r.bodyFollows()
 		n := r.step(data, first)
-		err := g.parser.Parse(data[:n])
+		part := data[:n]
 		g.read += n
 		data = data[n:]
+		if inBody {
+			if part = g.body.join(part, r.remaining); part == nil {
+				return
+			}
+		}
+		err := g.parser.Parse(part)
 		if refusal := g.check(err); refusal != "" {
 			g.refuseLocked(refusal)
 			return
 		}
 		if r.complete {
 			g.pending = bytes.Clone(data)
+			if r.body > 0 && !g.server.memory.reserve(g.holder, handlerCopies*int64(r.body)) {
+				g.refuseLocked(Overloaded)
+				return
+			}
 			g.fire("request")
 			return
 		}
@@ -248,6 +264,8 @@
 		_ = g.conn.Close()
 		return
 	}
+	// The request may wait for a goroutine, and its connection isn't idle meanwhile.
+	g.server.setBusy(g.conn.RemoteAddr().String(), true)
 	job := g.job
 	g.job = nil
 	g.conn.Execute(func() {
@@ -333,7 +351,7 @@
 	}
 	g.parser.CloseAndClean(nil)
 	g.parser = nil
-	g.pending, g.job, g.answer = nil, nil, nil
+	g.pending, g.job, g.answer, g.body = nil, nil, nil, segments{}
 	g.server.memory.close(g.holder)
 }
 
--- a/entry/anvillistener/memory.go
+++ b/entry/anvillistener/memory.go
@@ -14,8 +14,12 @@
 	// memoryShare is the part of the process's memory that callers' requests and answers may use. The collector lets the heap
 	// grow to twice what is in use, and the process needs memory of its own.
 	memoryShare = 4
-	// bodyCopies is how often a body is in memory: in the parser, and as the body that the handler reads.
+	// bodyCopies is what is reserved for each byte that is read: the byte, and the space in segments that isn't filled yet.
 	bodyCopies = 2
+	// chunkedCopies takes its place in chunks, for which the parser grows a buffer of its own.
+	chunkedCopies = 4
+	// handlerCopies is reserved for each byte of a body while it is handled: the handler's copy and what is decoded from it.
+	handlerCopies = 2
 	// headerLineCost is the memory of a header line beside its text.
 	headerLineCost = 160
 )
--- a/entry/anvillistener/request.go
+++ b/entry/anvillistener/request.go
@@ -90,6 +90,9 @@
 // hasBody reports whether a body follows the header.
 func (r *request) hasBody() bool { return r.remaining > 0 || r.chunked }
 
+// bodyFollows reports whether the header has been parsed to its last byte.
+func (r *request) bodyFollows() bool { return r.headDone && (r.headEnded || r.last != '\r') }
+
 // step returns how much of data may be parsed at once, so that the parser doesn't go beyond the end of the request. first
 // means that data follows what was read before; afterwards it follows the end of a line or of what is missing.
 func (r *request) step(data []byte, first bool) int {
