--- a/entry/anvilscheduler/adopt.go
+++ b/entry/anvilscheduler/adopt.go
@@ -85,6 +85,7 @@
 				l.resumeEnd(j, s.State())
 			}
 		}
+		l.resumeBegin(j)
 		l.resumeFailed(j)
 		l.markReady(j)
 		l.checkFinished(j)
@@ -185,9 +186,6 @@
 		default:
 		}
 	}
-	if len(runs) > 0 && !j.ended() {
-		l.fireJob(j, "begin")
-	}
 }
 
 // attach binds an adopted run to its worker.
@@ -205,4 +203,5 @@
 	l.fireTask(t, "committed")
 	// The former leader may not have got an answer to the start.
 	t.lastStart = l.extendedUntil(l.clock.Now())
+	w.recordNoAnswer(startKey{t, t.run}, l.clock.Now())
 }
--- a/entry/anvilscheduler/advice.go
+++ b/entry/anvilscheduler/advice.go
@@ -158,16 +158,21 @@
 		}
 		free := projected[c.index].Sub(c.claimed)
 		n := countFitting(size, free, s.waiting)
+		// Reservations don't limit every stage that needs this size.
 		anyFits = anyFits || n > 0
+		if len(c.reservations) > 0 {
+			free = free.Sub(c.reservedFrom(s))
+			n = countFitting(size, free, s.waiting)
+		}
 		if limit := s.step.MaxPerWorker(); limit > 0 {
 			n = min(n, limit-s.perWorker[c.worker])
 		}
 		// Capacity is reserved for a large task only at approved workers, so the query can't wait until there is some.
 		beforeCapacity := n <= 0 && large && !s.tickets.queried[c.worker] && size.Fits(c.worker.registration.capacity)
-		if n <= 0 && !beforeCapacity {
+		if n <= 0 && !beforeCapacity && !p.queriesNear(s, c) {
 			continue
 		}
-		option := queryOption{candidate: c, tasks: n, free: free.Dominant(c.worker.registration.capacity), status: statusUnknown}
+		option := queryOption{candidate: c, tasks: max(n, 0), free: free.Dominant(c.worker.registration.capacity), status: statusUnknown}
 		if beforeCapacity {
 			option.tasks, option.status = 1, statusNoCapacityYet
 		}
--- a/entry/anvilscheduler/harness_test.go
+++ b/entry/anvilscheduler/harness_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strings"
 	"testing"
-	"time"
 
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilclock"
@@ -18,7 +17,7 @@
 
 // fakeCluster is an in-memory platform: a store, workers, their registry and an advisor. It fails the test when the
 // scheduler starts a running task elsewhere, starts a task after its successful end was acknowledged, overcommits a
-// worker, or commits too many entries.
+// worker, starts a task in a domain that has been evacuated for too long, or commits too many entries.
 type fakeCluster struct {
 	t        testing.TB
 	clock    *anvilclock.Manual
@@ -33,12 +32,16 @@
 	failQueries int
 	// acknowledged holds the tasks with a successful end that was acknowledged.
 	acknowledged map[anviljob.TaskID]bool
+	// evacuated holds when domains were evacuated. policyLost means that reads of the configuration fail.
+	evacuated  map[string]anvilclock.Millis
+	policyLost bool
 }
 
 func newFakeCluster(t testing.TB, policy *anvilpolicy.Policy) *fakeCluster {
 	fc := &fakeCluster{
 		t: t, clock: anvilclock.NewManual(1_000_000), workers: map[string]*fakeWorker{}, policy: policy,
 		approves: func(string) bool { return true }, acknowledged: map[anviljob.TaskID]bool{},
+		evacuated: map[string]anvilclock.Millis{},
 	}
 	fc.store = &fakeStore{cluster: fc, rows: map[rowKey]anvilstorage.Row{}}
 	return fc
@@ -261,8 +264,6 @@
 		fc.t.Fatal(err)
 	}
 	l.spawn = func(f func()) { f() }
-	// A second attempt would run beside the first one when the machine stalls.
-	l.secondStartDelay = time.Hour
 	return &harness{cluster: fc, loop: l}
 }
 
@@ -281,8 +282,9 @@
 		return
 	}
 	ctx := context.Background()
-	if h.cluster.policy != nil {
-		l.post(policyRead{page: anvilstorage.NewPolicyPage(h.cluster.policy, 1, 1), since: now})
+	if h.cluster.policy != nil && !h.cluster.policyLost {
+		page := anvilstorage.NewPolicyPage(h.cluster.policy, 1, 1).WithEvacuations(h.cluster.evacuationPage())
+		l.post(policyRead{page: page, since: now})
 	}
 	states, _ := s.Scan(ctx, anvilstorage.States)
 	l.post(statesRead{page: states, full: true})
@@ -342,12 +344,17 @@
 }
 
 func (fc *fakeCluster) submitSpec(id, queue, team string, spec *anviljob.Spec) {
+	fc.t.Helper()
+	fc.submitSpecAt(id, queue, team, spec, fc.clock.Now())
+}
+
+func (fc *fakeCluster) submitSpecAt(id, queue, team string, spec *anviljob.Spec, at anvilclock.Millis) {
 	fc.t.Helper()
 	var opts []anvilstorage.SubmissionOption
 	if q, ok := fc.policy.Queue(queue); ok {
 		opts = append(opts, anvilstorage.WithQueue(q))
 	}
-	intake, err := anvilstorage.SubmissionRow(anviljob.NewSubmission(id, queue, team, fc.clock.Now(), spec), opts...)
+	intake, err := anvilstorage.SubmissionRow(anviljob.NewSubmission(id, queue, team, at, spec), opts...)
 	if err != nil {
 		fc.t.Fatal(err)
 	}
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anviladmission"
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilevent"
 	"anvilhold.org/lib/anvilinvariant"
+	"anvilhold.org/lib/anvillocality"
 	"anvilhold.org/lib/anvilpolicy"
 )
 
@@ -35,6 +37,7 @@
 	shuttingDown     bool
 	leaderAddr       string
 	connectivity     *Connectivity
+	backlog          *anviladmission.Backlog
 }
 
 // LeaderAddr returns the address of the leader; empty when it is not known or there is none.
@@ -98,6 +101,7 @@
 	directory    *Directory
 
 	limits     leaseLimits
+	locality   *anvillocality.Rule
 	state      instanceState
 	leadership leadership
 	storeTime  storeClock
@@ -106,15 +110,14 @@
 	workload   workload
 	proxies    proxySet
 	wall       wallClock
+	// evacuations outlive a leadership: every instance follows them.
+	evacuations evacuations
 
 	ctx context.Context
 	// spawn runs a call to the store, a worker or another instance on a traffic goroutine.
 	spawn func(func())
 	// after calls a function on another goroutine once d has passed.
 	after func(d anvilclock.Millis, f func())
-	// secondStartDelay is how long a start may stay unanswered before it is sent a second time. Tests whose clock doesn't run
-	// set it to more than the machine may stall.
-	secondStartDelay time.Duration
 	// watching is set by Run, which follows the tables. Tests that don't call Run post the changes instead.
 	watching bool
 	// shutdownDone is closed once the leadership is released; nil when no shutdown is in progress.
@@ -139,6 +142,8 @@
 	connectivity     *Connectivity
 	// partitionDetected is closed when a partition from the store is detected, and replaced when it has ended.
 	partitionDetected chan struct{}
+	// backlog holds the shortages that this instance has found as the leader, or read from the leader.
+	backlog *anviladmission.Backlog
 }
 
 // Option sets an optional part of a Loop.
@@ -178,6 +183,12 @@
 	return func(l *Loop) { l.limits.heartbeat = interval }
 }
 
+// WithRemotePenalty sets how many times as long a run takes on another rack than that of its data or its gang. Above 1, tasks
+// wait for a near place where that pays; by default they never do.
+func WithRemotePenalty(penalty float64) Option {
+	return func(l *Loop) { l.locality = anvillocality.New(penalty) }
+}
+
 // WithMachine sets the name of the machine, with which the names of its instances begin. When the leader's name begins
 // with it, the leader was an earlier process of the machine, which has exited, and this instance claims without a
 // delay.
@@ -196,15 +207,15 @@
 func New(self anvilstorage.Instance, s Store, r Registry, w Workers, a Advisors, opts ...Option) (*Loop, error) {
 	l := &Loop{
 		self: self, store: s, registry: r, workers: w, advisors: a, clock: anvilclock.NewBoot(),
-		log: &anvilevent.Log{}, check: anvilinvariant.New(), meter: noMeter{}, notifier: noNotifier{},
+		log: &anvilevent.Log{}, check: anvilinvariant.New(), meter: noMeter{}, notifier: noNotifier{}, locality: anvillocality.New(0),
 		inbox: make(chan message, inboxSize), directory: NewDirectory(), ctx: context.Background(),
 		spawn:        func(f func()) { go f() },
 		after:        func(d anvilclock.Millis, f func()) { time.AfterFunc(d.Duration(), f) },
 		pollRequests: make(chan struct{}, 1),
 		peersKnown:   make(chan struct{}),
 
-		secondStartDelay: secondStartDelay.Duration(),
-		limits:           leaseLimits{maxLease: defaultMaxLease, stopGrace: defaultStopGrace},
+		evacuations: evacuations{active: map[string]*evacuation{}},
+		limits:      leaseLimits{maxLease: defaultMaxLease, stopGrace: defaultStopGrace},
 	}
 	l.state.partitionDetected = make(chan struct{})
 	l.state.connectivity = NewConnectivity(false, l.state.partitionDetected)
@@ -237,6 +248,16 @@
 // Connectivity returns the newest state of the network path to the store. It is safe for concurrent use.
 func (l *Loop) Connectivity() *Connectivity { return l.View().connectivity }
 
+// Backlog returns the shortages of capacity for new jobs, as the leader has last shown them; nil while there is no leader. It is
+// safe for concurrent use.
+func (l *Loop) Backlog() *anviladmission.Backlog {
+	v := l.View()
+	if v.leaderAddr == "" {
+		return nil
+	}
+	return v.backlog
+}
+
 // Directory returns the states of jobs that this instance knows. It is safe for concurrent use.
 func (l *Loop) Directory() *Directory { return l.directory }
 
@@ -364,6 +385,7 @@
 	l.view.Store(&View{
 		policy: l.state.policy, policyRowVersion: l.state.policyRowVersion, confirmed: l.state.confirmed, synced: l.state.synced,
 		shuttingDown: l.state.shuttingDown, leaderAddr: l.leadership.current.Addr(), connectivity: l.state.connectivity,
+		backlog: l.state.backlog,
 	})
 }
 
@@ -377,6 +399,9 @@
 	if c.policy != nil {
 		c.confirmed = max(c.confirmed, m.since)
 	}
+	if e := m.page.Evacuations(); e != nil {
+		l.applyEvacuations(e, m.since)
+	}
 	l.publish()
 }
 
--- a/entry/anvilscheduler/place.go
+++ b/entry/anvilscheduler/place.go
@@ -23,7 +23,15 @@
 		}
 		return true
 	}
-	deferrable := p.deferrable(r)
+	waits := p.newNearWaits(r)
+	blocked := l.placeTasks(p, r, waits)
+	return waits.finish() || blocked
+}
+
+// placeTasks binds the tasks of a stage that fit and don't wait for near places, and reports whether the remaining ones lack
+// only capacity or tickets.
+func (l *Loop) placeTasks(p *passState, r readyStage, waits *nearWaits) bool {
+	snap, deferrable := p.pool(r.queue.Pool()), p.deferrable(r)
 	for _, t := range r.stage.tasks {
 		if t.machine.State() != taskWaiting {
 			continue
@@ -36,7 +44,12 @@
 			p.shortages.capacity++
 			return false
 		}
-		c := p.choose(r, t, true, "")
+		rack := waits.rack()
+		c := p.choose(r, t, true, rack)
+		if c == nil && rack != "" {
+			waits.deferRest()
+			return true
+		}
 		if c == nil {
 			reserved := p.reserveForTickets(r)
 			p.countShortage(r, reserved)
@@ -45,6 +58,9 @@
 			}
 			return true
 		}
+		if waits.defers(c) {
+			continue
+		}
 		l.place(t, c.worker)
 		snap.used = snap.used.Add(r.stage.step.Reservation())
 	}
@@ -73,7 +89,7 @@
 }
 
 func (l *Loop) place(t *task, w *worker) {
-	t.worker = w
+	t.worker, t.stage.reservation = w, stageReservation{}
 	t.ticket = t.stage.tickets.forStart(w)
 	l.fireTask(t, "place")
 }
@@ -97,7 +113,7 @@
 		if !c.worker.hasLabel(rack) || !r.stage.fits(c) {
 			return
 		}
-		if score := c.score(r.stage, t); best == nil || score < bestScore {
+		if score := c.score(r.stage, t) + p.contention(r.stage, c); best == nil || score < bestScore {
 			best, bestScore = c, score
 		}
 	}
@@ -121,7 +137,7 @@
 // fits reports whether a worker's free capacity, its labels and the limit per worker allow one more task of the stage.
 // The advisor's approval is not checked.
 func (s *stage) fits(c *candidate) bool {
-	if !s.step.Reservation().Fits(c.free()) || !c.worker.hasLabel(s.step.Label()) {
+	if !s.step.Reservation().Fits(c.freeFor(s)) || !c.worker.hasLabel(s.step.Label()) {
 		return false
 	}
 	n := s.step.MaxPerWorker()
@@ -131,6 +147,7 @@
 // Parts of the score of a placement, in parts per million of the worker's capacity. The lowest score is chosen.
 const (
 	remoteRackPenalty = 400_000   // the data is on another rack
+	contendedPenalty  = 200_000   // more urgent tasks wait for places near their data on the worker's rack
 	avoidPenalty      = 3_000_000 // the task's last run there failed, stalled or was refused
 	suspectPenalty    = 2_000_000 // runs fail or stall on the worker
 	mixedUsePenalty   = 1_500_000 // tasks with a latency target and opportunistic tasks would share the worker
@@ -138,7 +155,7 @@
 )
 
 func (c *candidate) score(s *stage, t *task) int64 {
-	remaining := c.free().Sub(s.step.Reservation())
+	remaining := c.freeFor(s).Sub(s.step.Reservation())
 	score := remaining.Dominant(c.worker.registration.capacity)
 	if rack := s.step.Rack(); rack != "" && !c.worker.hasLabel(rack) {
 		score += remoteRackPenalty
@@ -190,6 +207,9 @@
 		return false
 	}
 	if plan := p.plan(r, true); plan != nil {
+		if p.defersGang(r, plan) {
+			return true
+		}
 		l.bindGang(p, r, plan)
 		return false
 	}
--- a/entry/anvilscheduler/poolsnapshot.go
+++ b/entry/anvilscheduler/poolsnapshot.go
@@ -28,7 +28,7 @@
 	reserved int
 	// mostUrgent is the most urgent priority among the queues of the pool; lower numbers are more urgent.
 	mostUrgent int
-	// racks are the labels of the workers, the most common first; nil until commonRacks is called.
+	// racks are the racks of the workers, the most common first; nil until commonRacks is called.
 	racks []string
 	// projections hold the expected free capacity of each candidate, keyed by the time in multiples of projectionStep.
 	projections map[anvilclock.Millis][]anvilsize.Size
@@ -50,14 +50,14 @@
 	// freeCPU is the CPU in millicores that was free when the pass began. It is an upper bound: free CPU only shrinks
 	// during a pass.
 	freeCPU int64
-	// reserved is capacity that more urgent stages hold while they wait for tickets or for enough capacity elsewhere.
-	reserved anvilsize.Size
+	// reserved is capacity that more urgent stages hold while they wait for tickets, reservations what stages hold that wait for
+	// enough capacity.
+	reserved     anvilsize.Size
+	reservations []reservation
 	// claimed is capacity that more urgent stages will probably use once their advisor queries are answered.
 	claimed anvilsize.Size
 }
 
-func (c *candidate) free() anvilsize.Size { return c.worker.free().Sub(c.reserved) }
-
 // pool returns the snapshot of a pool, which it takes at the first call in a pass.
 func (p *passState) pool(pool string) *poolSnapshot {
 	if snap := p.pools[pool]; snap != nil {
@@ -96,15 +96,23 @@
 	return snap.suspects*maxSuspectDivisor <= len(snap.candidates) && w.health.suspect(now)
 }
 
-// commonRacks returns the labels of the pool's workers, the most common first. Each label is tried as a rack.
+// commonRacks returns the racks of the pool's workers, the most common first. When no worker names its rack, each label
+// is tried as one.
 func (snap *poolSnapshot) commonRacks() []string {
 	if snap.racks != nil {
 		return snap.racks
 	}
 	counts := map[string]int{}
 	for _, c := range snap.candidates {
-		for _, label := range c.worker.registration.labels {
-			counts[label]++
+		if rack := c.worker.registration.rack; rack != "" {
+			counts[rack]++
+		}
+	}
+	if len(counts) == 0 {
+		for _, c := range snap.candidates {
+			for _, label := range c.worker.registration.labels {
+				counts[label]++
+			}
 		}
 	}
 	snap.racks = make([]string, 0, len(counts))
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -124,6 +124,9 @@
 	// lateOrderWindow is how long after its time-out an order may still be carried out. On the users' platform orders are
 	// carried out up to 12 s late.
 	lateOrderWindow = anvilclock.Millis(12_000)
+	// exposedHoldInterval replaces maxHoldWait, clockRefreshAge and probeInterval for a worker at which the start of a run that has
+	// ended may still arrive: its next process has to refuse that start soon after it has begun.
+	exposedHoldInterval = anvilclock.Millis(200)
 	// orderTimeout bounds a start, a stop, and a hold beyond its wait.
 	orderTimeout = anvilclock.Millis(700)
 	// secondStartDelay is how long a start may stay unanswered before it is sent a second time.
@@ -228,6 +231,20 @@
 	// reservedPoolDivisor bounds the reservations that are kept from pass to pass: they cover at most one in
 	// reservedPoolDivisor workers of a pool.
 	reservedPoolDivisor = 4
+	// reservationGrace is how long a reservation lasts after the stage should have started by the estimates, which are often too
+	// short.
+	reservationGrace = anvilclock.Millis(10_000)
+	// freePoolGrace is how long the first reservation of a stage lasts in a pool that is mostly free.
+	freePoolGrace = anvilclock.Millis(2500)
+	// maxLapses bounds how often the times are quadrupled.
+	maxLapses = 2
+	// mostlyFreeUse is the use of a pool, in parts per million, below which a job may not wait beside free capacity for 3 s.
+	mostlyFreeUse = 500_000
+	// reservationPause is how long a stage reserves nothing after its reservation has lapsed. A job of a queue with advice can
+	// get a ticket in that time.
+	reservationPause = anvilclock.Millis(2000)
+	// estimateError is by how much a task may take longer than its estimate, in percent, and still end before a reservation.
+	estimateError = 90
 	// typicalQueryWorkers is the number of workers that an advisor query is assumed to name when its time is added to a
 	// job's objective.
 	typicalQueryWorkers = 30
--- a/entry/anvilscheduler/workload.go
+++ b/entry/anvilscheduler/workload.go
@@ -27,6 +27,10 @@
 	usage map[string]anvilsize.Size
 	// shareBuckets holds the token bucket of each team.
 	shareBuckets map[string]*shareBucket
+	// lastBacklog is when the shortages of the pools were last looked for.
+	lastBacklog anvilclock.Millis
+	// runLengths holds the measured length of the runs of each queue.
+	runLengths map[string]*runLength
 	// lastQueues holds the newest configuration of each used queue, for the jobs of a queue that was removed.
 	lastQueues map[string]*anvilpolicy.Queue
 	// passRequested means that a pass is to run once passInterval has passed since the last one.
@@ -45,7 +49,7 @@
 		jobs: map[string]*job{}, ready: map[*stage]bool{}, timed: map[*job]bool{}, pendingCancels: map[string][]pendingCancel{},
 		cleaning: cleaning{removed: map[string]anvilclock.Millis{}},
 		usage:    map[string]anvilsize.Size{}, lastQueues: map[string]*anvilpolicy.Queue{},
-		shareBuckets: map[string]*shareBucket{},
+		shareBuckets: map[string]*shareBucket{}, runLengths: map[string]*runLength{},
 	}
 }
 
@@ -106,8 +110,9 @@
 	// perWorker counts the tasks that are bound to each worker.
 	perWorker map[*worker]int
 	tickets   tickets
-	// reserved holds the workers on which the stage reserves capacity until the next pass, one entry for each task.
-	reserved []*worker
+	near      nearWait
+	// reservation is of capacity for tasks that can't start yet.
+	reservation stageReservation
 	// failures and lastFailedRun are used for a gang, whose tasks fail together.
 	failures      int
 	lastFailedRun int
@@ -153,10 +158,10 @@
 	// pace is the share of its speed, in percent, at which the task may work.
 	pace         int
 	paceInFlight bool
-	// startInFlight means that a start has no answer yet, unconfirmed that an earlier start of the run got none and may
-	// have been carried out.
-	startInFlight bool
-	unconfirmed   bool
+	// attempts is the state of the newest start. unconfirmed means that an attempt to start the run at a former process of the
+	// worker may not have arrived yet.
+	attempts    startAttempts
+	unconfirmed bool
 	// lastStart is when the newest start was sent; 0 once an answer has shown that no incarnation of the worker which the
 	// leader doesn't know can have carried it out.
 	lastStart anvilclock.Millis
@@ -371,13 +376,10 @@
 	}
 	for _, w := range l.fleet.byID {
 		for t := range w.tasks {
-			switch {
-			case t.machine.State() == taskStopping && now-t.stopSent >= stopRetryDelay && w.machine.State() == workerReady:
+			if t.machine.State() == taskStopping && now-t.stopSent >= stopRetryDelay && w.machine.State() == workerReady {
 				l.stopTask(t, now)
-			case t.machine.State() == taskStarting && t.adoptedFrom == "" && !t.startInFlight && t.confirmedAt == 0 &&
-				now-t.lastProgress >= orderRetryDelay && w.machine.State() == workerReady && !w.leasesBounded() && w.minFence == 0 && l.leadershipValid(now):
-				l.sendStart(t, now)
 			}
+			l.repeatStart(t, now)
 		}
 	}
 }
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -65,6 +65,7 @@
 	ConfigOutage      ID = 4006
 	AllocationChanged ID = 4101
 	AllocationRefused ID = 4102
+	ClientsLimited    ID = 4103
 )
 
 // Events of failures of the table and of faults in anvilhold itself.
@@ -108,6 +109,7 @@
 	JobStateChanged       ID = 6204
 	JobCancelled          ID = 6205
 	JobAnswered           ID = 6206
+	SubmissionOverload    ID = 6207
 	RunPlaced             ID = 6301
 	StartRefused          ID = 6302
 	RunEnded              ID = 6303
@@ -118,10 +120,16 @@
 	RunPaced              ID = 6308
 	RunMoved              ID = 6309
 	TaskAttemptsExhausted ID = 6310
+	StartWithheld         ID = 6311
+	NearWaitStarted       ID = 6321
+	NearWaitEnded         ID = 6322
 	AdviceGiven           ID = 6401
 	AdviceFailed          ID = 6402
 	PassSummary           ID = 6403
 	PoolSummary           ID = 6404
+	CapacityReserved      ID = 6405
+	ReservationLapsed     ID = 6406
+	BacklogChanged        ID = 6407
 )
 
 // Events of the configuration, the store and the other systems that the scheduler of jobs depends on,
@@ -136,6 +144,9 @@
 	LinesDropped        ID = 6506
 	ConnectivityChanged ID = 6507
 	ForwardFailed       ID = 6508
+	EvacuationBegun     ID = 6509
+	EvacuationEnded     ID = 6510
+	DomainEmpty         ID = 6511
 	ProcessStarted      ID = 6601
 	ProcessLeaving      ID = 6602
 	ProcessStopped      ID = 6603
@@ -199,6 +210,7 @@
 	{ConfigOutage, "configuration outage", "Neither this instance nor any known peer reaches the table; the configuration stays in force."},
 	{AllocationChanged, "part moved", "A transfer changed the allocations of a team's limit in the table."},
 	{AllocationRefused, "part refused", "A transfer of a team's allocations conflicted with a newer row in the table."},
+	{ClientsLimited, "clients limited", "A limit has refused requests or closed connections of callers; the line has the reason and the number since its last line."},
 	{TableFailed, "table failed", "A write to the table was refused or got no answer."},
 	{ChartRefused, "chart refused event", "An event occurred for which no transition of the chart's current state applies."},
 	{LeadershipClaimed, "tenure claimed", "This instance claims the leadership, which is vacant, was not renewed in time or ended early."},
@@ -224,6 +236,7 @@
 	{JobStateChanged, "job state", "The state of a job has changed."},
 	{JobCancelled, "job cancelled", "The leader has read a cancellation."},
 	{JobAnswered, "job answered", "A call about a job, other than a submission, had a result other than a state or a count."},
+	{SubmissionOverload, "job overload", "A submission is refused, because there is no capacity for the job while it has a value."},
 	{RunPlaced, "run placed", "The choice of a worker is stored and the start is sent."},
 	{StartRefused, "start refused", "A start was refused or got no answer."},
 	{RunEnded, "run ended", "A worker reports the end of a run."},
@@ -232,20 +245,29 @@
 	{RunUnbound, "run stray", "A worker runs a task that is not bound to it; the run is stopped."},
 	{RunStalled, "run stalled", "A run makes no progress and is stopped."},
 	{RunPaced, "run paced", "An opportunistic task is throttled or resumed because of a serving task."},
-	{RunMoved, "run moved", "A run is stopped because its worker will leave before the run ends."},
+	{RunMoved, "run moved", "A run is stopped because its worker will leave before the run ends, or its failure domain is evacuated."},
 	{TaskAttemptsExhausted, "task spent", "A task has failed as often as its queue allows."},
+	{StartWithheld, "start withheld", "A start is not sent, because its worker can't be used for the task any more."},
+	{NearWaitStarted, "near wait", "A step waits for places near its data or its group, although it could start elsewhere."},
+	{NearWaitEnded, "near wait over", "The step's wait for near places is over."},
 	{AdviceGiven, "advice given", "The advisor has answered which workers may run a step."},
 	{AdviceFailed, "advice failed", "A query to the advisor failed or got no answer."},
 	{PassSummary, "pass summary", "Once a second: how many steps wait, and for what."},
 	{PoolSummary, "pool summary", "Once a second: the used and the total capacity of a pool."},
+	{CapacityReserved, "capacity reserved", "A step that can't start yet begins to reserve capacity, with the expected time to its start."},
+	{ReservationLapsed, "reservation lapsed", "A step has not started in time after it began to reserve capacity, and reserves nothing for a while."},
+	{BacklogChanged, "backlog changed", "The leader finds the first jobs for which there is no capacity while they have a value, or no more of them."},
 	{PolicyApplied, "policy applied", "A newer configuration of the platform is in force here."},
-	{RowUnreadable, "row unreadable", "A row or entry can't be decoded or encoded and is skipped."},
+	{RowUnreadable, "row unreadable", "A row or entry can't be decoded or encoded and is skipped, or names something unknown."},
 	{StoreFailed, "store failed", "A transaction or a read of the store failed."},
 	{DependencyLost, "dependency lost", "A system that the instance depends on fails or doesn't answer."},
 	{DependencyBack, "dependency back", "The system answers again."},
 	{LinesDropped, "lines dropped", "Log lines were dropped because the output could not keep up."},
 	{ConnectivityChanged, "contact changed", "The instance is partitioned from the store while others reach it, or no longer is."},
 	{ForwardFailed, "detour failed", "An instance that reaches the store did not answer a forwarded call."},
+	{EvacuationBegun, "evacuation begun", "An operator has requested that no work be sent to a failure domain."},
+	{EvacuationEnded, "evacuation ended", "A failure domain gets work again."},
+	{DomainEmpty, "domain empty", "No task is left at the workers of an evacuated failure domain."},
 	{ProcessStarted, "process started", "The process accepts calls."},
 	{ProcessLeaving, "process leaving", "The process was asked to stop."},
 	{ProcessStopped, "process stopped", "The process ends."},
