anvillistener: take data of connections without a remote address

Change: only connections of callers are looked up, and one without an address is ignored.

Result: TestDataWithoutRemoteAddress panicked before.

--- a/entry/anvillistener/listener_test.go
+++ b/entry/anvillistener/listener_test.go
@@ -111,3 +111,18 @@
 		}
 	}
 }
+
+// unnamedConn is a connection whose platform names no remote address, like that of a pair of sockets on some.
+type unnamedConn struct{ net.Conn }
+
+func (unnamedConn) RemoteAddr() net.Addr { return nil }
+
+// Guards against a process that ends with the first data of a connection without a remote address, as the probe of descriptors
+// can be.
+func TestDataWithoutRemoteAddress(t *testing.T) {
+	s := New("127.0.0.1:0", http.NotFoundHandler())
+	s.touch(unnamedConn{})
+	if len(s.conns) != 0 {
+		t.Fatalf("%d connections, want none", len(s.conns))
+	}
+}
--- a/entry/anvillistener/server.go
+++ b/entry/anvillistener/server.go
@@ -281,8 +281,8 @@
 
 // readable is called on the poller's goroutine when there is new data for a connection.
 func (s *Server) readable(c *nbio.Conn) {
-	s.touch(c)
 	if g, ok := session(c); ok {
+		s.touch(c)
 		g.readable()
 		return
 	}
@@ -330,12 +330,15 @@
 
 // touch records that data arrived on a connection.
 func (s *Server) touch(c net.Conn) {
+	addr := c.RemoteAddr()
+	if addr == nil {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	addr := c.RemoteAddr().String()
-	if conn, ok := s.conns[addr]; ok {
+	if conn, ok := s.conns[addr.String()]; ok {
 		conn.lastUsed = s.clock.Now()
-		s.conns[addr] = conn
+		s.conns[addr.String()] = conn
 	}
 }
 
