anvilscheduler: bound the attempts to reserve in a pass

Cause: an attempt that finds no workers in time didn't count towards maxReservations, so each gang behind long-running tasks searched all workers in every pass (review). Change: stages that have reserved nothing make at most three attempts in a pass, the more urgent first; one that failed isn't tried again until the others had their turn. A stage that holds a reservation isn't limited.

--- a/entry/anvilscheduler/bench_test.go
+++ b/entry/anvilscheduler/bench_test.go
@@ -84,3 +84,11 @@
 		})
 	}
 }
+
+// BenchmarkPassBlockedGangs measures a pass over 100 gangs that wait behind long-running tasks on 700 workers.
+func BenchmarkPassBlockedGangs(b *testing.B) {
+	fc, h := newBlockedGangs(b, 700, 100)
+	for b.Loop() {
+		h.loop.pass(fc.clock.Now())
+	}
+}
--- a/entry/anvilscheduler/pass.go
+++ b/entry/anvilscheduler/pass.go
@@ -44,7 +44,11 @@
 	pools map[string]*poolSnapshot
 	// reservations counts the stages that have reserved capacity in the pass.
 	reservations int
-	shortages    shortageCounts
+	// attempts counts the stages without a reservation that have searched the workers for capacity, attemptsLeftOut means that
+	// others may not.
+	attempts        int
+	attemptsLeftOut bool
+	shortages       shortageCounts
 	// nearAhead is, for each rack, the size of the tasks that wait for places there and are more urgent than the current stage.
 	nearAhead map[string]anvilsize.Size
 }
@@ -77,6 +81,7 @@
 			l.requestTickets(p, r)
 		}
 	}
+	p.endAttempts()
 	l.moveEvacuated(p)
 	took := l.clock.Now() - now
 	l.workload.passInterval = max(minPassInterval, took*passIdleFactor)
--- a/entry/anvilscheduler/reserve.go
+++ b/entry/anvilscheduler/reserve.go
@@ -26,6 +26,8 @@
 	pausedUntil anvilclock.Millis
 	// lapses is how often the reservation has lapsed since the stage last started tasks.
 	lapses int
+	// failedRound is the round of attempts in which the stage found no workers; 0 when it never did.
+	failedRound int
 }
 
 // reservation is capacity of a candidate that a stage holds for tasks which can't start yet.
@@ -116,16 +118,42 @@
 // reserveCapacity reserves capacity for n tasks of a stage at the workers that will have it first, if the stage is expected to
 // start in time for its job to be of worth.
 func (p *passState) reserveCapacity(r readyStage, n int) {
-	if p.reservations >= maxReservations || r.urgency.band == bandWorthless || p.lapsed(r) || p.now < r.stage.reservation.pausedUntil {
+	if p.reservations >= maxReservations || r.urgency.band == bandWorthless || p.lapsed(r) || p.now < r.stage.reservation.pausedUntil ||
+		!p.mayAttempt(&r.stage.reservation) {
 		return
 	}
 	workers := p.earliestWorkers(r, n)
 	if len(workers) == 0 || !p.addReservation(r, workers) {
+		r.stage.reservation.failedRound = p.loop.workload.reservationRound
 		return
 	}
 	p.reservations++
 }
 
+// mayAttempt reports whether a stage may search the workers in this pass, and counts the attempt. Stages that failed in a round
+// aren't tried again in it, so that those that can't reserve don't keep others from it. A stage that has reserved isn't limited.
+func (p *passState) mayAttempt(kept *stageReservation) bool {
+	if kept.startAt != 0 {
+		return true
+	}
+	if kept.failedRound == p.loop.workload.reservationRound {
+		return false
+	}
+	if p.attempts >= maxReservationAttempts {
+		p.attemptsLeftOut = true
+		return false
+	}
+	p.attempts++
+	return true
+}
+
+// endAttempts begins the next round of attempts once a pass has left out none.
+func (p *passState) endAttempts() {
+	if !p.attemptsLeftOut {
+		p.loop.workload.reservationRound++
+	}
+}
+
 // lapsed ends the reservation of a stage that hasn't started for reservationGrace after it should have, because the estimates of
 // the tasks before it are wrong. In a pool that is mostly free, it ends freePoolGrace after it has begun: other jobs must not wait
 // beside free workers for longer. Other stages can use the capacity during the pause after that. Each lapse quadruples the times,
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -224,6 +224,9 @@
 	gangQueryFactor = 3.0
 	// maxReservations is how many stages may reserve capacity in a pass.
 	maxReservations = 3
+	// maxReservationAttempts is how many stages that have no reservation may search the workers for one in a pass. A search takes a
+	// third of a millisecond with 700 workers.
+	maxReservationAttempts = 3
 	// Capacity is reserved for tasks that need at least largeTaskShare of a worker, in parts per million.
 	// Without reservations, a task that needs a whole worker waits for up to 36 s under low load, while a quarter of the
 	// pool is free in parts that are too small.
--- a/entry/anvilscheduler/workload.go
+++ b/entry/anvilscheduler/workload.go
@@ -33,6 +33,8 @@
 	runLengths map[string]*runLength
 	// lastQueues holds the newest configuration of each used queue, for the jobs of a queue that was removed.
 	lastQueues map[string]*anvilpolicy.Queue
+	// reservationRound is the number of the round in which each stage without a reservation tries once to reserve.
+	reservationRound int
 	// passRequested means that a pass is to run once passInterval has passed since the last one.
 	passRequested bool
 	lastPass      anvilclock.Millis
@@ -49,7 +51,7 @@
 		jobs: map[string]*job{}, ready: map[*stage]bool{}, timed: map[*job]bool{}, pendingCancels: map[string][]pendingCancel{},
 		cleaning: cleaning{removed: map[string]anvilclock.Millis{}},
 		usage:    map[string]anvilsize.Size{}, lastQueues: map[string]*anvilpolicy.Queue{},
-		shareBuckets: map[string]*shareBucket{}, runLengths: map[string]*runLength{},
+		shareBuckets: map[string]*shareBucket{}, runLengths: map[string]*runLength{}, reservationRound: 1,
 	}
 }
 
