anvilscheduler: keep the bound of reservations in pools that are mostly free

Cause: the 2.5 s for a pool that is mostly free grew with each lapse, to 10 and 40 s. The rule gives 3 s there: a job that has nothing running for longer beside free capacity counts as lost, whichever reservation holds it back (review). Change: only the 10 s after the expected start grow, which apply to pools in use. The test "is longer after it has lapsed" asserted the longer hold in a pool that is mostly free, against that rule. Two cases replace it: the longer hold in a busy pool, and the bound of 2.5 s after a lapse. The blocking task of the tests reports progress more slowly, so that it isn't stopped within a minute. Result: the case for the mostly free pool failed before; the case for the busy pool held before and fails without the longer times.

--- a/entry/anvilscheduler/reserve.go
+++ b/entry/anvilscheduler/reserve.go
@@ -156,8 +156,8 @@
 
 // lapsed ends the reservation of a stage that hasn't started for reservationGrace after it should have, because the estimates of
 // the tasks before it are wrong. In a pool that is mostly free, it ends freePoolGrace after it has begun: other jobs must not wait
-// beside free workers for longer. Other stages can use the capacity during the pause after that. Each lapse quadruples the times,
-// so that the stage doesn't starve among tasks that take longer.
+// beside free workers for longer. Other stages can use the capacity during the pause after that. Each lapse quadruples
+// reservationGrace, so that the stage doesn't starve among tasks that take longer; freePoolGrace answers a rule without exceptions.
 func (p *passState) lapsed(r readyStage) bool {
 	kept, snap := &r.stage.reservation, p.pool(r.queue.Pool())
 	if kept.startAt == 0 {
@@ -165,7 +165,7 @@
 	}
 	end := kept.startAt + reservationGrace<<(2*kept.lapses)
 	if snap.used.Dominant(snap.capacity) < mostlyFreeUse {
-		end = min(end, kept.begunAt+freePoolGrace<<(2*kept.lapses))
+		end = min(end, kept.begunAt+freePoolGrace)
 	}
 	if p.now < end {
 		return false
--- a/entry/anvilscheduler/reservebound_test.go
+++ b/entry/anvilscheduler/reservebound_test.go
@@ -63,7 +63,9 @@
 func (fc *fakeCluster) advanceLate(d anvilclock.Millis, h *harness) {
 	for end := fc.clock.Now() + d; fc.clock.Now() < end; {
 		for _, r := range fc.workerOf("blocker.0.0.0").runs {
-			r.percent = min(max(r.percent, 50)+1, 99)
+			if r.percent = max(r.percent, 50); fc.clock.Now()%1500 < 500 {
+				r.percent = min(r.percent+1, 99)
+			}
 		}
 		fc.advance(500, h)
 	}
@@ -131,15 +133,26 @@
 		fc.advanceLate(freePoolGrace, h)
 		assertStarted(t, fc, "j1.0.0.0")
 	})
-	t.Run("is longer after it has lapsed", func(t *testing.T) {
-		// Guards against a gang that starves in a pool that is mostly free, because all workers of its kind are always in use by
-		// tasks of several seconds.
+	t.Run("is longer after it has lapsed in a busy pool", func(t *testing.T) {
+		// Guards against a gang that starves because all workers of its kind are always in use by tasks whose estimates are too
+		// short.
+		fc, h := newWaitingGang(t, blockingStep(1000))
+		fc.fillOthers(h)
+		fc.advanceLate(1000+reservationGrace+reservationPause+reactionTime, h)
+		fc.submit("j1", commonQueue, "", labelledStep(60_000))
+		fc.advanceLate(3*reservationGrace, h)
+		assertNotStarted(t, fc, "j1.0.0.0")
+		fc.advanceLate(3*reservationGrace, h)
+		assertStarted(t, fc, "j1.0.0.0")
+	})
+	t.Run("isn't longer after it has lapsed where most of the pool is free", func(t *testing.T) {
+		// Guards against a job that has nothing running for over 3 s beside free workers, because a gang has reserved them again.
 		fc, h := newWaitingGang(t, blockingStep(30_000))
 		fc.advanceLate(freePoolGrace+reservationPause, h)
 		fc.submit("j1", commonQueue, "", labelledStep(60_000))
-		fc.advanceLate(2*freePoolGrace, h)
+		fc.advance(reactionTime, h)
 		assertNotStarted(t, fc, "j1.0.0.0")
-		fc.advanceLate(3*freePoolGrace, h)
+		fc.advanceLate(freePoolGrace, h)
 		assertStarted(t, fc, "j1.0.0.0")
 	})
 	t.Run("lapses when the gang doesn't start as expected", func(t *testing.T) {
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -237,9 +237,9 @@
 	// reservationGrace is how long a reservation lasts after the stage should have started by the estimates, which are often too
 	// short.
 	reservationGrace = anvilclock.Millis(10_000)
-	// freePoolGrace is how long the first reservation of a stage lasts in a pool that is mostly free.
+	// freePoolGrace is how long a reservation lasts in a pool that is mostly free.
 	freePoolGrace = anvilclock.Millis(2500)
-	// maxLapses bounds how often the times are quadrupled.
+	// maxLapses bounds how often reservationGrace is quadrupled.
 	maxLapses = 2
 	// mostlyFreeUse is the use of a pool, in parts per million, below which a job may not wait beside free capacity for 3 s.
 	mostlyFreeUse = 500_000
