anvilscheduler: let very short tasks use reserved capacity after the expected start

Change: tasks with an estimate of up to 0.5 s go by the present expectation. The times of reservations stay, so that gangs keep them. Result: the new case of TestReservationOfWaitingGang failed before.

--- a/entry/anvilscheduler/reserve.go
+++ b/entry/anvilscheduler/reserve.go
@@ -37,20 +37,29 @@
 	size     anvilsize.Size
 	// now is the time of the pass.
 	now anvilclock.Millis
-	// freeAt is when the candidate will have the capacity, startAt when the stage will start.
-	freeAt  anvilclock.Millis
-	startAt anvilclock.Millis
+	// freeAt is when the candidate will have the capacity, startAt when the stage will start, firstStartAt when it was expected
+	// to when it began to reserve.
+	freeAt       anvilclock.Millis
+	startAt      anvilclock.Millis
+	firstStartAt anvilclock.Millis
 }
 
 // binds reports whether a reservation limits the capacity of a stage. It doesn't limit long-running tasks, which must not be away
 // for as long as others wait, those of a more urgent queue, and tasks that end before it is needed.
 func (r reservation) binds(s *stage) bool {
-	switch estimate := s.step.Estimate(); {
-	case s.step.LongRunning():
-		return false
-	case estimate > 0 && r.now+estimate*(100+estimateError)/100 <= r.startAt:
+	if s.step.LongRunning() {
 		return false
 	}
+	if estimate := s.step.Estimate(); estimate > 0 {
+		neededAt := r.startAt
+		if estimate > maxShortBackfill {
+			// Longer tasks that go ahead must not delay the stage again and again.
+			neededAt = min(r.startAt, r.firstStartAt)
+		}
+		if r.now+estimate*(100+estimateError)/100 <= neededAt {
+			return false
+		}
+	}
 	q, ok := s.job.loop.queueOf(s.job)
 	return !ok || q.Priority() >= r.priority
 }
@@ -206,9 +215,7 @@
 	for w, n := range counts {
 		w.candidate.reservations = append(w.candidate.reservations, reservation{
 			stage: r.stage, priority: r.queue.Priority(), size: r.stage.step.Reservation().Scale(int64(n)), now: p.now,
-			freeAt: freeAt[w],
-			// A task that goes ahead must not delay the stage again and again.
-			startAt: min(startAt, kept.startAt),
+			freeAt: freeAt[w], startAt: startAt, firstStartAt: kept.startAt,
 		})
 	}
 	return true
--- a/entry/anvilscheduler/reservebound_test.go
+++ b/entry/anvilscheduler/reservebound_test.go
@@ -155,6 +155,17 @@
 		fc.advanceLate(freePoolGrace, h)
 		assertStarted(t, fc, "j1.0.0.0")
 	})
+	t.Run("lets very short tasks go ahead after the expected start", func(t *testing.T) {
+		// Guards against short tasks that wait beside free workers until the reservation lapses, which can take minutes.
+		fc, h := newWaitingGang(t, blockingStep(1000))
+		fc.fillOthers(h)
+		fc.advanceLate(3000, h)
+		fc.submit("j1", commonQueue, "", labelledStep(100))
+		fc.submit("j2", commonQueue, "", labelledStep(1000))
+		fc.advanceLate(1000, h)
+		assertStarted(t, fc, "j1.0.0.0")
+		assertNotStarted(t, fc, "j2.0.0.0")
+	})
 	t.Run("lapses when the gang doesn't start as expected", func(t *testing.T) {
 		// Guards against jobs that wait without a bound for a gang whose estimate of its start is wrong.
 		fc, h := newWaitingGang(t, blockingStep(1000))
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -248,6 +248,9 @@
 	reservationPause = anvilclock.Millis(2000)
 	// estimateError is by how much a task may take longer than its estimate, in percent, and still end before a reservation.
 	estimateError = 90
+	// maxShortBackfill is the longest estimate of tasks that go ahead by the current expectation of a reservation's start, also when
+	// the first one is over. They delay the stage by little, and would wait for many times their length.
+	maxShortBackfill = anvilclock.Millis(500)
 	// typicalQueryWorkers is the number of workers that an advisor query is assumed to name when its time is added to a
 	// job's objective.
 	typicalQueryWorkers = 30
