anvilscheduler: leave a stage's own reservation out of its advisor query

Cause: a reservation limited the capacity that the query of its own stage counted at the worker. Change: a reservation doesn't bind its own stage. Result: TestQueryOfReservedWorker failed before (1 query before the blocking task ends, at least 2 now).

--- a/entry/anvilscheduler/reserve.go
+++ b/entry/anvilscheduler/reserve.go
@@ -44,10 +44,10 @@
 	firstStartAt anvilclock.Millis
 }
 
-// binds reports whether a reservation limits the capacity of a stage. It doesn't limit long-running tasks, which must not be away
-// for as long as others wait, those of a more urgent queue, and tasks that end before it is needed.
+// binds reports whether a reservation limits the capacity of a stage. It doesn't limit its own stage, long-running
+// tasks, which must not be away for as long as others wait, those of a more urgent queue, and tasks that end before it is needed.
 func (r reservation) binds(s *stage) bool {
-	if s.step.LongRunning() {
+	if s == r.stage || s.step.LongRunning() {
 		return false
 	}
 	if estimate := s.step.Estimate(); estimate > 0 {
--- a/entry/anvilscheduler/reserveattempts_test.go
+++ b/entry/anvilscheduler/reserveattempts_test.go
@@ -57,6 +57,24 @@
 	})
 }
 
+// Guards against a large task whose ticket has expired when its worker becomes free, because it is queried only then.
+func TestQueryOfReservedWorker(t *testing.T) {
+	fc, h := startedWithSlowAdvisor(t, 1, 1)
+	fc.submit("blocker", slowQueue, "", anviljob.NewStep(1, core(4), anviljob.WithEstimate(6000)))
+	fc.advance(2*reactionTime, h)
+	assertStarted(t, fc, "blocker.0.0.0")
+	fc.queries = nil
+	fc.submit("j1", slowQueue, "", anviljob.NewStep(1, core(4), anviljob.WithEstimate(6000)))
+	for i := range 12 {
+		fc.workers["w000"].runs[anviljob.NewTaskID("blocker", 0, 0, 0)].percent = 10 + 7*i
+		fc.advance(500, h)
+	}
+	assertReserved(t, h, "j1")
+	if len(fc.queries) < 2 {
+		t.Errorf("%d queries before the blocking task ends", len(fc.queries))
+	}
+}
+
 func assertReserved(t *testing.T, h *harness, job string) {
 	t.Helper()
 	if len(h.loop.workload.jobs[job].stages[0].reservation.workers) == 0 {
