anvilscheduler: end a reservation's times when it is dropped

Cause: the expected start stayed when a reservation was dropped. Change: the expected start ends when a worker is lost, all times end with a pass after which the stage has nothing reserved. Result: the new case of TestReservationOfWaitingGang failed before.

--- a/entry/anvilscheduler/reserve.go
+++ b/entry/anvilscheduler/reserve.go
@@ -19,8 +19,10 @@
 type stageReservation struct {
 	// workers are those on which capacity is reserved until the next pass, one entry for each task.
 	workers []*worker
-	// startAt is when the stage was expected to start when it began to reserve, at begunAt; 0 while it hasn't.
+	// startAt is when the stage was expected to start when it began to reserve at these workers, or at others for which they were
+	// exchanged; 0 while it hasn't, and once a worker was lost.
 	startAt anvilclock.Millis
+	// begunAt is since when the stage has had something reserved after each pass; 0 while it hasn't.
 	begunAt anvilclock.Millis
 	// pausedUntil is the time before which the stage reserves nothing, because its reservation has lapsed.
 	pausedUntil anvilclock.Millis
@@ -106,7 +108,15 @@
 	snap, kept := p.pool(r.queue.Pool()), &r.stage.reservation
 	workers := kept.workers
 	kept.workers = nil
-	if len(workers) == 0 || r.urgency.band == bandWorthless ||
+	if len(workers) == 0 {
+		kept.startAt, kept.begunAt = 0, 0
+		return
+	}
+	if slices.ContainsFunc(workers, func(w *worker) bool { return w.candidate == nil }) {
+		kept.startAt = 0
+		return
+	}
+	if r.urgency.band == bandWorthless ||
 		(snap.reserved+len(workers))*reservedPoolDivisor > max(len(snap.candidates), reservedPoolDivisor) {
 		return
 	}
@@ -142,7 +152,7 @@
 // mayAttempt reports whether a stage may search the workers in this pass, and counts the attempt. Stages that failed in a round
 // aren't tried again in it, so that those that can't reserve don't keep others from it. A stage that has reserved isn't limited.
 func (p *passState) mayAttempt(kept *stageReservation) bool {
-	if kept.startAt != 0 {
+	if kept.begunAt != 0 {
 		return true
 	}
 	if kept.failedRound == p.loop.workload.reservationRound {
@@ -181,7 +191,8 @@
 	}
 	p.loop.log.Record(anvilevent.ReservationLapsed, "step", r.stage.name(), "expected", int64(kept.startAt-p.now))
 	p.loop.meter.Count("reservation.lapsed")
-	kept.startAt, kept.pausedUntil, kept.lapses = 0, p.now+reservationPause, min(kept.lapses+1, maxLapses)
+	kept.startAt, kept.begunAt = 0, 0
+	kept.pausedUntil, kept.lapses = p.now+reservationPause, min(kept.lapses+1, maxLapses)
 	return true
 }
 
@@ -206,8 +217,11 @@
 		startAt = max(startAt, times[n-1])
 	}
 	kept := &r.stage.reservation
+	if kept.begunAt == 0 {
+		kept.begunAt = p.now
+	}
 	if kept.startAt == 0 {
-		kept.startAt, kept.begunAt = startAt, p.now
+		kept.startAt = startAt
 		p.loop.log.Record(anvilevent.CapacityReserved, "step", r.stage.name(), "tasks", len(workers), "expected", int64(startAt-p.now))
 		p.loop.meter.Count("reservation.begun")
 	}
--- a/entry/anvilscheduler/reservebound_test.go
+++ b/entry/anvilscheduler/reservebound_test.go
@@ -45,6 +45,17 @@
 	return fc, h
 }
 
+// emptyWorker returns the id of a worker that the gang can use and on which nothing runs.
+func emptyWorker(fc *fakeCluster) string {
+	for id, fw := range fc.workers {
+		if len(fw.runs) == 0 && id >= "w09" {
+			return id
+		}
+	}
+	fc.t.Fatal("no worker is empty")
+	return ""
+}
+
 // fillOthers fills workers that the gang can't use, so that over half of the pool is in use.
 func (fc *fakeCluster) fillOthers(h *harness) {
 	fc.submit("others", commonQueue, "", anviljob.NewStep(6, core(8), anviljob.WithLabel(otherLabel), anviljob.WithLongRunning(true)))
@@ -188,6 +199,23 @@
 		fc.advance(reactionTime, h)
 		assertStarted(t, fc, "gang.0.0.2")
 	})
+	t.Run("begins anew after a worker of it was drained", func(t *testing.T) {
+		// Guards against a gang that must pause because a reservation lapses which it no longer had.
+		fc, h := newWaitingGang(t, blockingStep(1000))
+		fc.fillOthers(h)
+		id := emptyWorker(fc)
+		drain := func(draining bool) {
+			fc.setEntry(id, func(r Registration) Registration { r.draining = draining; return r })
+		}
+		drain(true)
+		fc.advanceLate(1000+reservationGrace, h)
+		drain(false)
+		fc.advance(reactionTime, h)
+		fc.submit("j1", commonQueue, "", labelledStep(60_000))
+		fc.advance(reactionTime, h)
+		assertReserved(t, h, "gang")
+		assertNotStarted(t, fc, "j1.0.0.0")
+	})
 	t.Run("outlasts estimates that are too short", func(t *testing.T) {
 		// Guards against a gang of a large part of a pool that starves among tasks which take three times their estimates.
 		b := newBusyCluster(t, 8)
