--- a/entry/anvilscheduler/reserve.go
+++ b/entry/anvilscheduler/reserve.go
@@ -19,13 +19,17 @@
 type stageReservation struct {
 	// workers are those on which capacity is reserved until the next pass, one entry for each task.
 	workers []*worker
-	// startAt is when the stage was expected to start when it began to reserve, at begunAt; 0 while it hasn't.
+	// startAt is when the stage was expected to start when it began to reserve at these workers, or at others for which they were
+	// exchanged; 0 while it hasn't, and once a worker was lost.
 	startAt anvilclock.Millis
+	// begunAt is since when the stage has had something reserved after each pass; 0 while it hasn't.
 	begunAt anvilclock.Millis
 	// pausedUntil is the time before which the stage reserves nothing, because its reservation has lapsed.
 	pausedUntil anvilclock.Millis
 	// lapses is how often the reservation has lapsed since the stage last started tasks.
 	lapses int
+	// failedRound is the round of attempts in which the stage found no workers; 0 when it never did.
+	failedRound int
 }
 
 // reservation is capacity of a candidate that a stage holds for tasks which can't start yet.
@@ -35,20 +39,29 @@
 	size     anvilsize.Size
 	// now is the time of the pass.
 	now anvilclock.Millis
-	// freeAt is when the candidate will have the capacity, startAt when the stage will start.
-	freeAt  anvilclock.Millis
-	startAt anvilclock.Millis
+	// freeAt is when the candidate will have the capacity, startAt when the stage will start, firstStartAt when it was expected
+	// to when it began to reserve.
+	freeAt       anvilclock.Millis
+	startAt      anvilclock.Millis
+	firstStartAt anvilclock.Millis
 }
 
-// binds reports whether a reservation limits the capacity of a stage. It doesn't limit long-running tasks, which must not be away
-// for as long as others wait, those of a more urgent queue, and tasks that end before it is needed.
+// binds reports whether a reservation limits the capacity of a stage. It doesn't limit its own stage, long-running
+// tasks, which must not be away for as long as others wait, those of a more urgent queue, and tasks that end before it is needed.
 func (r reservation) binds(s *stage) bool {
-	switch estimate := s.step.Estimate(); {
-	case s.step.LongRunning():
-		return false
-	case estimate > 0 && r.now+estimate*(100+estimateError)/100 <= r.startAt:
+	if s == r.stage || s.step.LongRunning() {
 		return false
 	}
+	if estimate := s.step.Estimate(); estimate > 0 {
+		neededAt := r.startAt
+		if estimate > maxShortBackfill {
+			// Longer tasks that go ahead must not delay the stage again and again.
+			neededAt = min(r.startAt, r.firstStartAt)
+		}
+		if r.now+estimate*(100+estimateError)/100 <= neededAt {
+			return false
+		}
+	}
 	q, ok := s.job.loop.queueOf(s.job)
 	return !ok || q.Priority() >= r.priority
 }
@@ -95,7 +108,15 @@
 	snap, kept := p.pool(r.queue.Pool()), &r.stage.reservation
 	workers := kept.workers
 	kept.workers = nil
-	if len(workers) == 0 || r.urgency.band == bandWorthless ||
+	if len(workers) == 0 {
+		kept.startAt, kept.begunAt = 0, 0
+		return
+	}
+	if slices.ContainsFunc(workers, func(w *worker) bool { return w.candidate == nil }) {
+		kept.startAt = 0
+		return
+	}
+	if r.urgency.band == bandWorthless ||
 		(snap.reserved+len(workers))*reservedPoolDivisor > max(len(snap.candidates), reservedPoolDivisor) {
 		return
 	}
@@ -116,20 +137,46 @@
 // reserveCapacity reserves capacity for n tasks of a stage at the workers that will have it first, if the stage is expected to
 // start in time for its job to be of worth.
 func (p *passState) reserveCapacity(r readyStage, n int) {
-	if p.reservations >= maxReservations || r.urgency.band == bandWorthless || p.lapsed(r) || p.now < r.stage.reservation.pausedUntil {
+	if p.reservations >= maxReservations || r.urgency.band == bandWorthless || p.lapsed(r) || p.now < r.stage.reservation.pausedUntil ||
+		!p.mayAttempt(&r.stage.reservation) {
 		return
 	}
 	workers := p.earliestWorkers(r, n)
 	if len(workers) == 0 || !p.addReservation(r, workers) {
+		r.stage.reservation.failedRound = p.loop.workload.reservationRound
 		return
 	}
 	p.reservations++
 }
 
+// mayAttempt reports whether a stage may search the workers in this pass, and counts the attempt. Stages that failed in a round
+// aren't tried again in it, so that those that can't reserve don't keep others from it. A stage that has reserved isn't limited.
+func (p *passState) mayAttempt(kept *stageReservation) bool {
+	if kept.begunAt != 0 {
+		return true
+	}
+	if kept.failedRound == p.loop.workload.reservationRound {
+		return false
+	}
+	if p.attempts >= maxReservationAttempts {
+		p.attemptsLeftOut = true
+		return false
+	}
+	p.attempts++
+	return true
+}
+
+// endAttempts begins the next round of attempts once a pass has left out none.
+func (p *passState) endAttempts() {
+	if !p.attemptsLeftOut {
+		p.loop.workload.reservationRound++
+	}
+}
+
 // lapsed ends the reservation of a stage that hasn't started for reservationGrace after it should have, because the estimates of
 // the tasks before it are wrong. In a pool that is mostly free, it ends freePoolGrace after it has begun: other jobs must not wait
-// beside free workers for longer. Other stages can use the capacity during the pause after that. Each lapse quadruples the times,
-// so that the stage doesn't starve among tasks that take longer.
+// beside free workers for longer. Other stages can use the capacity during the pause after that. Each lapse quadruples
+// reservationGrace, so that the stage doesn't starve among tasks that take longer; freePoolGrace answers a rule without exceptions.
 func (p *passState) lapsed(r readyStage) bool {
 	kept, snap := &r.stage.reservation, p.pool(r.queue.Pool())
 	if kept.startAt == 0 {
@@ -137,14 +184,15 @@
 	}
 	end := kept.startAt + reservationGrace<<(2*kept.lapses)
 	if snap.used.Dominant(snap.capacity) < mostlyFreeUse {
-		end = min(end, kept.begunAt+freePoolGrace<<(2*kept.lapses))
+		end = min(end, kept.begunAt+freePoolGrace)
 	}
 	if p.now < end {
 		return false
 	}
 	p.loop.log.Record(anvilevent.ReservationLapsed, "step", r.stage.name(), "expected", int64(kept.startAt-p.now))
 	p.loop.meter.Count("reservation.lapsed")
-	kept.startAt, kept.pausedUntil, kept.lapses = 0, p.now+reservationPause, min(kept.lapses+1, maxLapses)
+	kept.startAt, kept.begunAt = 0, 0
+	kept.pausedUntil, kept.lapses = p.now+reservationPause, min(kept.lapses+1, maxLapses)
 	return true
 }
 
@@ -169,8 +217,11 @@
 		startAt = max(startAt, times[n-1])
 	}
 	kept := &r.stage.reservation
+	if kept.begunAt == 0 {
+		kept.begunAt = p.now
+	}
 	if kept.startAt == 0 {
-		kept.startAt, kept.begunAt = startAt, p.now
+		kept.startAt = startAt
 		p.loop.log.Record(anvilevent.CapacityReserved, "step", r.stage.name(), "tasks", len(workers), "expected", int64(startAt-p.now))
 		p.loop.meter.Count("reservation.begun")
 	}
@@ -178,9 +229,7 @@
 	for w, n := range counts {
 		w.candidate.reservations = append(w.candidate.reservations, reservation{
 			stage: r.stage, priority: r.queue.Priority(), size: r.stage.step.Reservation().Scale(int64(n)), now: p.now,
-			freeAt: freeAt[w],
-			// A task that goes ahead must not delay the stage again and again.
-			startAt: min(startAt, kept.startAt),
+			freeAt: freeAt[w], startAt: startAt, firstStartAt: kept.startAt,
 		})
 	}
 	return true
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -224,6 +224,9 @@
 	gangQueryFactor = 3.0
 	// maxReservations is how many stages may reserve capacity in a pass.
 	maxReservations = 3
+	// maxReservationAttempts is how many stages that have no reservation may search the workers for one in a pass. A search takes a
+	// third of a millisecond with 700 workers.
+	maxReservationAttempts = 3
 	// Capacity is reserved for tasks that need at least largeTaskShare of a worker, in parts per million.
 	// Without reservations, a task that needs a whole worker waits for up to 36 s under low load, while a quarter of the
 	// pool is free in parts that are too small.
@@ -234,9 +237,9 @@
 	// reservationGrace is how long a reservation lasts after the stage should have started by the estimates, which are often too
 	// short.
 	reservationGrace = anvilclock.Millis(10_000)
-	// freePoolGrace is how long the first reservation of a stage lasts in a pool that is mostly free.
+	// freePoolGrace is how long a reservation lasts in a pool that is mostly free.
 	freePoolGrace = anvilclock.Millis(2500)
-	// maxLapses bounds how often the times are quadrupled.
+	// maxLapses bounds how often reservationGrace is quadrupled.
 	maxLapses = 2
 	// mostlyFreeUse is the use of a pool, in parts per million, below which a job may not wait beside free capacity for 3 s.
 	mostlyFreeUse = 500_000
@@ -245,6 +248,9 @@
 	reservationPause = anvilclock.Millis(2000)
 	// estimateError is by how much a task may take longer than its estimate, in percent, and still end before a reservation.
 	estimateError = 90
+	// maxShortBackfill is the longest estimate of tasks that go ahead by the current expectation of a reservation's start, also when
+	// the first one is over. They delay the stage by little, and would wait for many times their length.
+	maxShortBackfill = anvilclock.Millis(500)
 	// typicalQueryWorkers is the number of workers that an advisor query is assumed to name when its time is added to a
 	// job's objective.
 	typicalQueryWorkers = 30
