anvilscheduler: let shortages expire at other instances

Each commit repeated the last backlog, and followers date it by their read. When no job was left that caused a pass, the leader didn't look again, and followers refused jobs on an idle cluster. Encode leaves out a backlog that is too old to be used, also while passes return early, and the tick requests a pass while there are shortages.

TestBacklogAfterCancellation failed on the code before and passes. The end of TestBacklogOfOverload is checked at a follower, too.

--- a/entry/anvilscheduler/backlog.go
+++ b/entry/anvilscheduler/backlog.go
@@ -145,7 +145,7 @@
 	}
 	l.meter.Gauge("backlog.shortages", int64(len(shortages)))
 	if was.Empty() != l.state.backlog.Empty() {
-		l.log.Record(anvilevent.BacklogChanged, "shortages", l.state.backlog.Encode())
+		l.log.Record(anvilevent.BacklogChanged, "shortages", l.state.backlog.Encode(now))
 	}
 	l.publish()
 }
--- a/entry/anvilscheduler/backlog_test.go
+++ b/entry/anvilscheduler/backlog_test.go
@@ -55,6 +55,26 @@
 	assertEqual(t, "refusal on old knowledge", follower.refuses(t, 8), false)
 	b.finish(t)
 	assertEqual(t, "refusal after the burst", b.harness.refuses(t, 8), false)
+	b.cluster.advance(reactionTime, b.harness, follower)
+	assertEqual(t, "refusal by another instance after the burst", follower.refuses(t, 8), false)
+}
+
+// Guards against a shortage that other instances keep when no job is left that would make the leader look again.
+func TestBacklogAfterCancellation(t *testing.T) {
+	for since := anvilclock.Millis(0); since < backlogInterval; since += 50 {
+		b := newBurstLoad(t)
+		follower := b.cluster.newHarness("e2")
+		b.overload(3500, accepts)
+		b.cluster.advance(reactionTime+since, b.harness, follower)
+		assertEqual(t, "refusal in overload", follower.refuses(t, 8), true)
+		for id := range b.submitted {
+			if b.ended[id] == 0 {
+				b.cluster.cancel(id)
+			}
+		}
+		b.cluster.advance(3000, b.harness, follower)
+		assertEqual(t, "refusal without any job", follower.refuses(t, 8), false)
+	}
 }
 
 // Guards against refusals that serve nobody: in the same overload, more jobs have to end while they have a value.
--- a/entry/anvilscheduler/workload.go
+++ b/entry/anvilscheduler/workload.go
@@ -365,12 +365,16 @@
 	}
 }
 
-// tickWorkload requests a pass when stages have waited for maxPassInterval, adds occurrences that are due, and repeats
+// tickWorkload requests a pass when stages have waited for maxPassInterval or shortages may be over, adds occurrences that are due, and repeats
 // starts that got no answer and stops that had no effect.
 func (l *Loop) tickWorkload(now anvilclock.Millis) {
 	if len(l.workload.ready) > 0 && now-l.workload.lastPass >= maxPassInterval {
 		l.requestPass()
 	}
+	if !l.state.backlog.Empty() && now-l.workload.lastBacklog >= backlogInterval {
+		// No stage may be left that would cause a pass, and the shortages would be kept.
+		l.requestPass()
+	}
 	for j := range l.workload.timed {
 		l.addDueOccurrence(j)
 	}
--- a/lib/anviladmission/backlog.go
+++ b/lib/anviladmission/backlog.go
@@ -53,9 +53,13 @@
 	Wait  int64    `json:"wait"`
 }
 
-// Encode returns the shortages as text for another instance; empty when there are none. At most maxShortages are in it.
-func (b *Backlog) Encode() string {
-	if b.Empty() {
+// outdated reports whether a backlog is too old to be used at a local time.
+func (b *Backlog) outdated(now anvilclock.Millis) bool { return now-b.at > maxBacklogAge }
+
+// Encode returns the shortages as text for another instance; empty when there are none, or when they are too old at a local
+// time: the other instance dates them by its read. At most maxShortages are in it.
+func (b *Backlog) Encode(now anvilclock.Millis) string {
+	if b.Empty() || b.outdated(now) {
 		return ""
 	}
 	var out []shortageText
--- a/lib/anviladmission/gate.go
+++ b/lib/anviladmission/gate.go
@@ -48,7 +48,7 @@
 // Refuses reports whether a job would get no capacity while it has a value, and when its caller may return. Jobs that don't end
 // and those with set times are never refused.
 func (g *Gate) Refuses(b *Backlog, now anvilclock.Millis, id, queue string, spec *anviljob.Spec) (anvilclock.Millis, bool) {
-	if b.Empty() || now-b.at > maxBacklogAge || spec.LongRunning() || spec.Repeat().Timed() {
+	if b.Empty() || b.outdated(now) || spec.LongRunning() || spec.Repeat().Timed() {
 		return 0, false
 	}
 	factor := int64(1)
--- a/lib/anviladmission/gate_test.go
+++ b/lib/anviladmission/gate_test.go
@@ -90,9 +90,10 @@
 
 // Guards against an instance that refuses by other shortages than the leader's.
 func TestEncode(t *testing.T) {
-	b, err := Decode(full(t).Encode(), now)
+	b, err := Decode(full(t).Encode(now), now)
 	anvilassert.NoError(t, err)
 	anvilassert.Equal(t, "backlog", fmt.Sprint(*b), fmt.Sprint(*full(t)))
+	anvilassert.Equal(t, "text of old knowledge", full(t).Encode(now+maxBacklogAge+1), "")
 	_, err = Decode("{", now)
 	anvilassert.True(t, err != nil, "a text that is cut is decoded")
 }
