anvilscheduler: keep tasks of teams above their maximum in evacuated domains

After a maximum was lowered below what the team uses, a moved long-running task was stopped and didn't start again. Tasks move only while the team is within its limit.

The new case of TestEvacuationMoves failed on the code before and passes.

--- a/entry/anvilscheduler/evacuationmove.go
+++ b/entry/anvilscheduler/evacuationmove.go
@@ -78,13 +78,14 @@
 	return cmp.Or(cmp.Compare(t.stage.step.LatencyTarget(), other.stage.step.LatencyTarget()), compareTasks(t, other)) < 0
 }
 
-// hasRoomElsewhere reports whether a worker that gets work can take the task now, and the pool keeps its headroom with it.
+// hasRoomElsewhere reports whether a worker that gets work can take the task now, the pool keeps its headroom with it, and the
+// team may start it again.
 func (p *passState) hasRoomElsewhere(t *task) bool {
 	q, ok := p.loop.queueOf(t.stage.job)
 	if !ok {
 		return false
 	}
 	snap, size := p.pool(q.Pool()), t.stage.step.Reservation()
-	return snap.used.Add(size).Dominant(snap.capacity) <= maxDeferrablePoolUse &&
+	return p.loop.withinLimit(t.stage, 0) && snap.used.Add(size).Dominant(snap.capacity) <= maxDeferrablePoolUse &&
 		p.choose(readyStage{stage: t.stage, queue: q}, t, false, "") != nil
 }
--- a/entry/anvilscheduler/evacuationmove_test.go
+++ b/entry/anvilscheduler/evacuationmove_test.go
@@ -80,6 +80,16 @@
 		assertRuns(t, fc, 4, 4)
 		assertStartCounts(t, fc, 4, 4)
 	})
+	t.Run("they stay while their team is above its maximum", func(t *testing.T) {
+		// Guards against a task that is stopped and may not start again.
+		fc, h := lastingInDomains(t, 3)
+		domain, full, _ := fc.fullest()
+		n := len(full.runs)
+		fc.policy = policyWithMaximum(2, core(2))
+		fc.evacuate(domain)
+		fc.advance(evacuationMoveDelay+evacuationBound, h)
+		assertEqual(t, "runs", len(full.runs), n)
+	})
 	t.Run("other tasks end where they are", func(t *testing.T) {
 		// Guards against work that is stopped although it would end by itself.
 		fc, h := startedInDomains(t)
