anvilscheduler: unbind tasks while evacuations aren't known

A start that was due while commits were applied but reads of the operators' requests failed came back as one without a valid leadership, so that its choice was stored again in each commit. The reason is one of its own now: a choice that no start has followed is given up, and a start without an answer waits.

--- a/entry/anvilscheduler/dispatch.go
+++ b/entry/anvilscheduler/dispatch.go
@@ -11,10 +11,11 @@
 // Reasons for which a start may not go out now. After the first ones it may later, at the same worker. After the others the
 // task is unbound from the worker.
 const (
-	refusalLeadership = "leadership"
-	refusalSilent     = "silent"
-	refusalFence      = "fence"
-	refusalLease      = "lease"
+	refusalLeadership  = "leadership"
+	refusalEvacuations = "evacuations"
+	refusalSilent      = "silent"
+	refusalFence       = "fence"
+	refusalLease       = "lease"
 
 	refusalEnded    = "ended"
 	refusalProcess  = "process"
@@ -65,7 +66,10 @@
 	if t.ticketLapsed(now) {
 		return refusalTicket
 	}
-	if !l.mayStart(now) {
+	if !l.knowsEvacuations(now) {
+		return refusalEvacuations
+	}
+	if !l.leadershipValid(now) {
 		return refusalLeadership
 	}
 	return ""
@@ -80,7 +84,7 @@
 // mayBeSentLater reports whether a start that was refused for a reason may go out to the same worker later.
 func mayBeSentLater(reason string) bool {
 	switch reason {
-	case refusalLeadership, refusalSilent, refusalFence, refusalLease:
+	case refusalLeadership, refusalEvacuations, refusalSilent, refusalFence, refusalLease:
 		return true
 	}
 	return false
@@ -98,8 +102,7 @@
 		case "":
 			l.fireTask(t, "committed")
 		case refusalLeadership:
-			// Another instance may have claimed the leadership, or what is known of evacuations is too old. The next commit shows
-			// the former; the start is sent once both are known.
+			// Another instance may have claimed the leadership. The next commit shows whether it has.
 			t.stage.job.unstoredBindings = append(t.stage.job.unstoredBindings, t)
 			l.markRunChanged(t)
 		default:
--- a/entry/anvilscheduler/evacuation.go
+++ b/entry/anvilscheduler/evacuation.go
@@ -75,11 +75,6 @@
 	return es.bound == 0 || es.domains.KnownSince(now-es.bound*maxEvacuationAge/100)
 }
 
-// mayStart reports whether starts may be sent now, to domains that aren't evacuated.
-func (l *Loop) mayStart(now anvilclock.Millis) bool {
-	return l.leadershipValid(now) && l.knowsEvacuations(now)
-}
-
 // policyWaitTime returns how long the store may wait for a change of the configuration.
 func (l *Loop) policyWaitTime() anvilclock.Millis {
 	if l.evacuations.bound == 0 {
--- a/entry/anvilscheduler/evacuation_test.go
+++ b/entry/anvilscheduler/evacuation_test.go
@@ -204,6 +204,28 @@
 		fc.advance(reactionTime, h)
 		assertStartCounts(t, fc, 0, 4)
 	})
+	t.Run("a choice that is stored when it gets too old is given up", func(t *testing.T) {
+		// Guards against a leader that stores the choice again in every commit until it knows of evacuations again.
+		fc, h := startedInDomains(t)
+		h.loop.spawn = func(f func()) {
+			f()
+			if b := h.loop.commits.inflight; b != nil && len(b.bindings) > 0 {
+				fc.policyLost, h.loop.evacuations.domains = true, anvilevacuation.Domains{}
+			}
+		}
+		fc.submit("j1", plainQueue, teamName, longStep(1))
+		fc.advance(reactionTime, h)
+		assertEqual(t, "reads of the requests fail", fc.policyLost, true)
+		before := h.loop.commits.renewals
+		fc.advance(10*renewInterval, h)
+		if n := h.loop.commits.renewals - before; n > 11 {
+			t.Errorf("%d commits in the time of 10 renewals", n)
+		}
+		assertStartCounts(t, fc, 0, 0)
+		fc.policyLost = false
+		fc.advance(reactionTime, h)
+		assertRunning(t, fc, "j1.0.0.0")
+	})
 	t.Run("an instance that was cut off catches up before it starts anything", func(t *testing.T) {
 		// Guards against an instance that becomes leader with what it knew before it was cut off.
 		fc, h := startedInDomains(t)
