anvilscheduler: report held starts and shorten reads of evacuations

The leader held all starts without a line when its knowledge of evacuations was too old. Events 6512 and 6513 and the counter start.held show it. Two lost reads made the knowledge too old: reads now get less time once it is half the bound old. The age up to which starts are sent leaves orderTimeout also for bounds below 3,500 ms.

TestEvacuationReads failed with the limits before (4,340 ms after two lost reads with a bound of 5,000 ms, of which 4,000 ms are allowed) and passes.

--- a/entry/anvilscheduler/evacuation.go
+++ b/entry/anvilscheduler/evacuation.go
@@ -9,10 +9,12 @@
 
 const (
 	// maxEvacuationAge is the age of what this instance knows of evacuations up to which it sends starts, in percent of the
-	// bound. The rest of the bound is for starts under way.
+	// bound. The rest of the bound is for starts under way, and at least orderTimeout.
 	maxEvacuationAge = 80
 	// evacuationPolls is how many reads of the configuration the bound has to leave time for.
 	evacuationPolls = 5
+	// evacuationRetries is how many of the shortest reads have time in the bound.
+	evacuationRetries = 10
 )
 
 // WithEvacuationBound sets the time after which nothing may start in a failure domain that is evacuated. Starts are held while
@@ -29,6 +31,13 @@
 	active map[string]*evacuation
 	// lastMove is when a task to be moved was last looked for.
 	lastMove anvilclock.Millis
+	// heldSince is when the leader began to hold all starts; 0 while it doesn't.
+	heldSince anvilclock.Millis
+}
+
+// maxAge returns the age of the knowledge up to which starts are sent.
+func (e *evacuations) maxAge() anvilclock.Millis {
+	return min(e.bound*maxEvacuationAge/100, e.bound-orderTimeout)
 }
 
 // evacuation is an evacuation in force, of which this instance has known since a time.
@@ -72,15 +81,39 @@
 // knowsEvacuations reports whether this instance's knowledge of evacuations is recent enough for starts.
 func (l *Loop) knowsEvacuations(now anvilclock.Millis) bool {
 	es := &l.evacuations
-	return es.bound == 0 || es.domains.KnownSince(now-es.bound*maxEvacuationAge/100)
+	return es.bound == 0 || es.domains.KnownSince(now-es.maxAge())
 }
 
-// policyWaitTime returns how long the store may wait for a change of the configuration.
-func (l *Loop) policyWaitTime() anvilclock.Millis {
-	if l.evacuations.bound == 0 {
-		return policyWait
+// policyReadLimits returns how long the store may wait for a change of the configuration before it answers a read, and the
+// timeout of the read, while the knowledge of evacuations has an age. Once the knowledge is half
+// the bound old, reads are short, so that two lost ones don't make it too old.
+func (e *evacuations) policyReadLimits(after int64, age anvilclock.Millis) (wait, timeout anvilclock.Millis) {
+	if e.bound == 0 {
+		return policyWait, pageTimeout(after, policyWait)
+	}
+	wait = min(policyWait, e.bound/evacuationPolls)
+	timeout = pageTimeout(after, wait)
+	if age > e.maxAge() {
+		// Starts are held already. A slow store needs the whole time.
+		return wait, timeout
+	}
+	timeout = min(timeout, max(e.bound/2-age, e.bound/evacuationRetries))
+	return min(wait, max(timeout-answerTimeout, 0)), timeout
+}
+
+// reviewStartHold records when the leader begins to hold all starts because its knowledge of evacuations is too old, and when it
+// no longer does.
+func (l *Loop) reviewStartHold(now anvilclock.Millis) {
+	es := &l.evacuations
+	switch held := l.leading() && !l.knowsEvacuations(now); {
+	case held && es.heldSince == 0:
+		es.heldSince = now
+		l.log.Record(anvilevent.StartsHeld, "bound", int64(es.bound))
+		l.meter.Count("start.held")
+	case !held && es.heldSince != 0:
+		l.log.Record(anvilevent.StartsResumed, "after", int64(now-es.heldSince))
+		es.heldSince = 0
 	}
-	return min(policyWait, l.evacuations.bound/evacuationPolls)
 }
 
 // reviewEvacuations follows, at the leader, how many tasks the evacuated domains still have.
--- a/entry/anvilscheduler/evacuation_test.go
+++ b/entry/anvilscheduler/evacuation_test.go
@@ -168,6 +168,21 @@
 	}
 }
 
+// Guards against starts that are held after two lost reads, and against a start under way that ends after the bound.
+func TestEvacuationReads(t *testing.T) {
+	for _, bound := range []anvilclock.Millis{2500, 3000, evacuationBound, 20_000} {
+		e := &evacuations{bound: bound}
+		age, _ := e.policyReadLimits(1, 0)
+		for range 2 {
+			_, timeout := e.policyReadLimits(1, age)
+			age += timeout + readRetryDelay
+		}
+		if age > e.maxAge() || e.maxAge() > bound-orderTimeout {
+			t.Errorf("bound %d: the knowledge is %d ms old, at most %d are allowed", bound, age, e.maxAge())
+		}
+	}
+}
+
 func TestEvacuationKnowledge(t *testing.T) {
 	t.Run("the next leader keeps it", func(t *testing.T) {
 		// Guards against an evacuation that only the former leader knew: all processes are replaced.
@@ -200,9 +215,11 @@
 		fc.submit("j1", plainQueue, teamName, longStep(6))
 		fc.advance(2*evacuationBound, h)
 		assertStartCounts(t, fc, 0, 0)
+		assertEqual(t, "starts are held", h.loop.evacuations.heldSince != 0, true)
 		fc.policyLost = false
 		fc.advance(reactionTime, h)
 		assertStartCounts(t, fc, 0, 4)
+		assertEqual(t, "starts are held", h.loop.evacuations.heldSince != 0, false)
 	})
 	t.Run("a choice that is stored when it gets too old is given up", func(t *testing.T) {
 		// Guards against a leader that stores the choice again in every commit until it knows of evacuations again.
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -360,6 +360,7 @@
 func (l *Loop) tick() {
 	now := l.clock.Now()
 	l.wall.sample(l.clock)
+	l.reviewStartHold(now)
 	if !l.leading() {
 		return
 	}
--- a/entry/anvilscheduler/watch.go
+++ b/entry/anvilscheduler/watch.go
@@ -139,10 +139,11 @@
 
 // watchPolicy follows the configuration. Every answer confirms the version in force, also one without a change.
 func (l *Loop) watchPolicy(ctx context.Context) {
+	limits, confirmed := evacuations{bound: l.evacuations.bound}, l.clock.Now()
 	l.followFeed(ctx, "configuration", 0, fixedInterval(policyFeedInterval), func(after int64) (int64, error) {
 		since := l.clock.Now()
-		wait := l.policyWaitTime()
-		call, cancel := withTimeout(ctx, pageTimeout(after, wait))
+		wait, timeout := limits.policyReadLimits(after, since-confirmed)
+		call, cancel := withTimeout(ctx, timeout)
 		defer cancel()
 		page, err := l.registry.Policy(call, after, wait)
 		if err != nil {
@@ -150,6 +151,7 @@
 		}
 		// The answer shows the configuration at the time when the store sent it. That time is not known, but it is not
 		// before the call.
+		confirmed = since
 		l.post(policyRead{page: page, since: since})
 		return page.Version(), nil
 	})
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -147,6 +147,8 @@
 	EvacuationBegun     ID = 6509
 	EvacuationEnded     ID = 6510
 	DomainEmpty         ID = 6511
+	StartsHeld          ID = 6512
+	StartsResumed       ID = 6513
 	ProcessStarted      ID = 6601
 	ProcessLeaving      ID = 6602
 	ProcessStopped      ID = 6603
@@ -268,6 +270,8 @@
 	{EvacuationBegun, "evacuation begun", "An operator has requested that no work be sent to a failure domain."},
 	{EvacuationEnded, "evacuation ended", "A failure domain gets work again."},
 	{DomainEmpty, "domain empty", "No task is left at the workers of an evacuated failure domain."},
+	{StartsHeld, "starts held", "The leader sends no starts, because its knowledge of evacuations is too old."},
+	{StartsResumed, "starts resumed", "The leader knows the evacuations again, or is no longer leader."},
 	{ProcessStarted, "process started", "The process accepts calls."},
 	{ProcessLeaving, "process leaving", "The process was asked to stop."},
 	{ProcessStopped, "process stopped", "The process ends."},
