anvilscheduler: withdraw only as many starts as a lowered maximum needs

A task that is being stopped counts in its team's usage until the stop is confirmed. So each start without an answer found the team above its lowered maximum, and all were withdrawn. Tasks that are stopping for this reason no longer count in that check; the other starts wait for them.

TestLoweredLimitWithdrawsFewStarts failed on the code before (0 of 4 starts were kept where 3 may run) and passes.

--- a/entry/anvilscheduler/dispatch.go
+++ b/entry/anvilscheduler/dispatch.go
@@ -130,12 +130,29 @@
 	switch reason := l.startRefusal(t, now); {
 	case reason == "":
 		l.sendStart(t, now)
+	case reason == refusalLimit:
+		l.withdrawAboveLimit(t)
 	case !mayBeSentLater(reason):
 		l.recordWithheld(t, reason)
 		l.withdrawStart(t)
 	}
 }
 
+// withdrawAboveLimit withdraws a start of a team that is above its maximum, unless the team will be within it once the tasks that
+// are leaving have been stopped.
+func (l *Loop) withdrawAboveLimit(t *task) {
+	name, size := t.stage.job.sub.Team(), t.stage.step.Size()
+	if team, ok := l.state.policy.Team(name); ok && team.WithinLimit(l.workload.usage[name].Sub(l.workload.leaving[name])) {
+		return
+	}
+	l.recordWithheld(t, refusalLimit)
+	l.withdrawStart(t)
+	if t.machine.State() == taskStopping {
+		t.leaving = true
+		l.workload.leaving[name] = l.workload.leaving[name].Add(size)
+	}
+}
+
 func (l *Loop) recordWithheld(t *task, reason string) {
 	l.log.Record(anvilevent.StartWithheld, "task", t.id.String(), "run", t.run, "worker", t.worker.id(), "reason", reason)
 	l.meter.Count("start.withheld." + reason)
--- a/entry/anvilscheduler/dispatch_test.go
+++ b/entry/anvilscheduler/dispatch_test.go
@@ -72,3 +72,20 @@
 	}
 	assertEqual(t, "tasks that run", len(fc.running()), 2)
 }
+
+// Guards against starts that are withdrawn although the team is within its lowered maximum once others have been.
+func TestLoweredLimitWithdrawsFewStarts(t *testing.T) {
+	fc, h := startedWithLostStarts(t, 4)
+	fc.policy = policyWithMaximum(2, core(6))
+	fc.advance(reactionTime, h)
+	fc.workers["w1"].unreachable = false
+	fc.advance(4*reactionTime, h)
+	first := 0
+	for i := range 4 {
+		if task := h.loop.findTask(anviljob.NewTaskID("j1", 0, 0, i)); task.machine.State() == taskRunning && task.run == 1 {
+			first++
+		}
+	}
+	assertEqual(t, "tasks whose first run goes on", first, 3)
+	assertEqual(t, "tasks that run", len(fc.running()), 3)
+}
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -137,6 +137,10 @@
 	l.deallocate(t)
 	j.bound--
 	l.workload.usage[j.sub.Team()] = l.workload.usage[j.sub.Team()].Sub(s.step.Size())
+	if t.leaving {
+		t.leaving = false
+		l.workload.leaving[j.sub.Team()] = l.workload.leaving[j.sub.Team()].Sub(s.step.Size())
+	}
 	t.worker, t.adoptedFrom = nil, ""
 	l.markRunChanged(t)
 	l.requestPass()
--- a/entry/anvilscheduler/workload.go
+++ b/entry/anvilscheduler/workload.go
@@ -25,6 +25,8 @@
 	pendingCancels map[string][]pendingCancel
 	// usage holds, for each team, the sum of the sizes of its bound tasks.
 	usage map[string]anvilsize.Size
+	// leaving is the part of usage whose tasks are being stopped because their teams are above their maximum.
+	leaving map[string]anvilsize.Size
 	// shareBuckets holds the token bucket of each team.
 	shareBuckets map[string]*shareBucket
 	// lastBacklog is when the shortages of the pools were last looked for.
@@ -48,7 +50,7 @@
 	return workload{
 		jobs: map[string]*job{}, ready: map[*stage]bool{}, timed: map[*job]bool{}, pendingCancels: map[string][]pendingCancel{},
 		cleaning: cleaning{removed: map[string]anvilclock.Millis{}},
-		usage:    map[string]anvilsize.Size{}, lastQueues: map[string]*anvilpolicy.Queue{},
+		usage:    map[string]anvilsize.Size{}, leaving: map[string]anvilsize.Size{}, lastQueues: map[string]*anvilpolicy.Queue{},
 		shareBuckets: map[string]*shareBucket{}, runLengths: map[string]*runLength{},
 	}
 }
@@ -165,6 +167,8 @@
 	// lastStart is when the newest start was sent; 0 once an answer has shown that no incarnation of the worker which the
 	// leader doesn't know can have carried it out.
 	lastStart anvilclock.Millis
+	// leaving means that the run is being stopped because the team is above its maximum.
+	leaving bool
 	// formerDone means that an earlier run has succeeded, and the bound one is being stopped.
 	formerDone bool
 	// avoidWorker is the worker where the last run failed, stalled or was refused.
