anvilevacuation: remove accessors that nothing uses

Domains.List, Page.Full, Page.Changes, Change.Domain and Change.Ended were used only by tests, if at all.

TestSecondAttemptOfStart again has the case of a first attempt that fails at once, which went with the code that the present one replaced.

--- a/entry/anvilscheduler/hedge_test.go
+++ b/entry/anvilscheduler/hedge_test.go
@@ -71,6 +71,15 @@
 		again := slices.IndexFunc(o.attempts[1:], func(m startAnswered) bool { return m.run == 1 })
 		assertEqual(t, "another attempt of the run", again, -1)
 	})
+	t.Run("is not sent after the first one has failed at once", func(t *testing.T) {
+		fc, o, task := startedWithOpenStart(t)
+		o.answer(0, FaultNoReply)
+		failed := fc.clock.Now()
+		assertEqual(t, "second attempt is due", task.attempts.secondDue(failed+2*secondStartDelay), false)
+		fc.advance(orderRetryDelay, o.harness)
+		assertEqual(t, "attempts", len(o.attempts), 2)
+		assertEqual(t, "the other one is of a new start", o.attempts[1].round > o.attempts[0].round, true)
+	})
 	t.Run("is not sent to a worker that drains", func(t *testing.T) {
 		fc, o, _ := startedWithOpenStart(t)
 		fc.setEntry("w1", func(r Registration) Registration { return r.Draining(60_000) })
--- a/lib/anvilevacuation/evacuation.go
+++ b/lib/anvilevacuation/evacuation.go
@@ -21,12 +21,6 @@
 // End returns the end of the evacuation of a domain.
 func End(domain string) Change { return Change{domain: domain, ended: true} }
 
-// Domain returns the failure domain.
-func (c Change) Domain() string { return c.domain }
-
-// Ended reports whether the domain may get work again.
-func (c Change) Ended() bool { return c.ended }
-
 // Page is the result of a read of the requests: all of them, or the changes since the read before it.
 type Page struct {
 	changes []Change
@@ -39,12 +33,6 @@
 // NewFullPage returns all requests in force. It keeps the slice.
 func NewFullPage(requests []Change) *Page { return &Page{changes: requests, full: true} }
 
-// Changes returns the changes. The caller must not change the slice.
-func (p *Page) Changes() []Change { return p.changes }
-
-// Full reports whether the page holds all requests, so that domains which it doesn't name aren't evacuated.
-func (p *Page) Full() bool { return p.full }
-
 // Domains holds the evacuated domains as of the last read. The zero value knows nothing. It is not safe for concurrent use.
 type Domains struct {
 	evacuated map[string]bool
@@ -90,6 +78,3 @@
 
 // KnownSince reports whether the requests that were stored by a time are known.
 func (d *Domains) KnownSince(at anvilclock.Millis) bool { return d.read && d.confirmed >= at }
-
-// List returns the evacuated domains in order.
-func (d *Domains) List() []string { return slices.Sorted(maps.Keys(d.evacuated)) }
--- a/lib/anvilevacuation/evacuation_test.go
+++ b/lib/anvilevacuation/evacuation_test.go
@@ -20,7 +20,7 @@
 		begun, ended := d.Apply(NewPage([]Change{End("north"), Request("north"), Request("south")}), 20)
 		assertEqual(t, "begun", begun, "[south]")
 		assertEqual(t, "ended", ended, "[]")
-		assertEqual(t, "evacuated", d.List(), "[north south]")
+		assertEqual(t, "evacuated", d.evacuated, "map[north:true south:true]")
 	})
 	t.Run("a full page ends what it doesn't name", func(t *testing.T) {
 		// Guards against a domain that stays unused when its row was removed while the feed was lost.
