--- a/entry/anvilscheduler/evacuation_test.go
+++ b/entry/anvilscheduler/evacuation_test.go
@@ -168,6 +168,21 @@
 	}
 }
 
+// Guards against starts that are held after two lost reads, and against a start under way that ends after the bound.
+func TestEvacuationReads(t *testing.T) {
+	for _, bound := range []anvilclock.Millis{2500, 3000, evacuationBound, 20_000} {
+		e := &evacuations{bound: bound}
+		age, _ := e.policyReadLimits(1, 0)
+		for range 2 {
+			_, timeout := e.policyReadLimits(1, age)
+			age += timeout + readRetryDelay
+		}
+		if age > e.maxAge() || e.maxAge() > bound-orderTimeout {
+			t.Errorf("bound %d: the knowledge is %d ms old, at most %d are allowed", bound, age, e.maxAge())
+		}
+	}
+}
+
 func TestEvacuationKnowledge(t *testing.T) {
 	t.Run("the next leader keeps it", func(t *testing.T) {
 		// Guards against an evacuation that only the former leader knew: all processes are replaced.
@@ -200,9 +215,33 @@
 		fc.submit("j1", plainQueue, teamName, longStep(6))
 		fc.advance(2*evacuationBound, h)
 		assertStartCounts(t, fc, 0, 0)
+		assertEqual(t, "starts are held", h.loop.evacuations.heldSince != 0, true)
 		fc.policyLost = false
 		fc.advance(reactionTime, h)
 		assertStartCounts(t, fc, 0, 4)
+		assertEqual(t, "starts are held", h.loop.evacuations.heldSince != 0, false)
+	})
+	t.Run("a choice that is stored when it gets too old is given up", func(t *testing.T) {
+		// Guards against a leader that stores the choice again in every commit until it knows of evacuations again.
+		fc, h := startedInDomains(t)
+		h.loop.spawn = func(f func()) {
+			f()
+			if b := h.loop.commits.inflight; b != nil && len(b.bindings) > 0 {
+				fc.policyLost, h.loop.evacuations.domains = true, anvilevacuation.Domains{}
+			}
+		}
+		fc.submit("j1", plainQueue, teamName, longStep(1))
+		fc.advance(reactionTime, h)
+		assertEqual(t, "reads of the requests fail", fc.policyLost, true)
+		before := h.loop.commits.renewals
+		fc.advance(10*renewInterval, h)
+		if n := h.loop.commits.renewals - before; n > 11 {
+			t.Errorf("%d commits in the time of 10 renewals", n)
+		}
+		assertStartCounts(t, fc, 0, 0)
+		fc.policyLost = false
+		fc.advance(reactionTime, h)
+		assertRunning(t, fc, "j1.0.0.0")
 	})
 	t.Run("an instance that was cut off catches up before it starts anything", func(t *testing.T) {
 		// Guards against an instance that becomes leader with what it knew before it was cut off.
