anvillistener: refuse requests with ambiguous framing

Found by review: after a chunked body, a trailer line that begins with no name made the parser run past the end of the request, and its client got the answer to the next one. Differing lengths, a length beside chunks, signed and empty lengths, spaces before a colon and continued lines were accepted.

Change: such requests are malformed (400, close). The idle timeout of a new connection no longer replaces the shorter one after a refusal; a refused connection could stay open for 75 s.

--- a/entry/anvillistener/gate.go
+++ b/entry/anvillistener/gate.go
@@ -60,6 +60,7 @@
 	answer    []byte // the response of a request that isn't admitted
 	discarded int
 	handled   int
+	timed     bool // the read deadline isn't that of an idle connection
 }
 
 // countedConn counts the bytes that are written to the connection.
@@ -209,6 +210,10 @@
 				return
 			}
 		}
+		if !r.headDone && !r.scan.valid(part) {
+			g.refuseLocked(Malformed)
+			return
+		}
 		err := g.parser.Parse(part)
 		if refusal := g.check(err); refusal != "" {
 			g.refuseLocked(refusal)
@@ -234,7 +239,7 @@
 		return HeadersTooLarge
 	case errors.Is(err, nbhttp.ErrTooLong):
 		return BodyTooLarge
-	case err != nil:
+	case err != nil, r.ambiguous:
 		return Malformed
 	case r.lines > s.maxHeaderLines, !r.headDone && g.read > s.maxHeaders+parserOverhead:
 		return HeadersTooLarge
@@ -338,6 +343,7 @@
 		out = s.refusal(g.refusal, g.request.head)
 	}
 	g.discard()
+	g.timed = true
 	_ = g.conn.SetReadDeadline(time.Now().Add(discardTimeout))
 	if g.tls != nil {
 		_, _ = g.tls.Write(out)
--- a/entry/anvillistener/request.go
+++ b/entry/anvillistener/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"net/url"
+	"strings"
 
 	"github.com/lesismal/nbio/nbhttp"
 )
@@ -26,6 +27,10 @@
 	remaining int
 	body      int
 	complete  bool
+	scan      headerScan
+	length    string // the Content-Length
+	// ambiguous is set if another parser could see the end of the request elsewhere.
+	ambiguous bool
 }
 
 func newRequest() *request { return &request{Processor: nbhttp.NewServerProcessor()} }
@@ -35,8 +40,12 @@
 	*r = request{Processor: r.Processor}
 }
 
-// OnMethod implements nbhttp.Processor.
+// OnMethod implements nbhttp.Processor. The parser skips what isn't a name at the start of a trailer line, and so may find the
+// end of a request where step didn't.
 func (r *request) OnMethod(p *nbhttp.Parser, method string) {
+	if r.complete {
+		r.ambiguous = true
+	}
 	r.head = &http.Request{Method: method, Header: http.Header{}, URL: &url.URL{}}
 	r.Processor.OnMethod(p, method)
 }
@@ -57,14 +66,24 @@
 		r.head.Host = value
 	case "Transfer-Encoding":
 		r.chunked = true
+	case "Content-Length":
+		r.setLength(strings.TrimRight(value, " \t"))
 	}
 	r.head.Header[key] = append(r.head.Header[key], value)
 	r.Processor.OnHeader(p, key, value)
 }
 
+func (r *request) setLength(value string) {
+	if !decimal(value) || r.length != "" && r.length != value {
+		r.ambiguous = true
+	}
+	r.length = value
+}
+
 // OnContentLength implements nbhttp.Processor. The parser calls it at the end of each header; n is -1 without a length.
 func (r *request) OnContentLength(p *nbhttp.Parser, n int) {
 	r.headDone, r.remaining = true, max(n, 0)
+	r.ambiguous = r.ambiguous || r.chunked && r.length != ""
 	r.head.ContentLength = int64(n)
 	r.Processor.OnContentLength(p, n)
 }
--- a/entry/anvillistener/server.go
+++ b/entry/anvillistener/server.go
@@ -256,15 +256,20 @@
 }
 
 // setIdleDeadline sets the idle timeout of a connection after it was added to the engine. The engine may already be
-// handling the first request, during which there is no timeout.
+// handling the first request, during which there is no timeout, or have set a shorter one.
 func (s *Server) setIdleDeadline(c net.Conn) {
+	if g, ok := session(c); ok {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.timed || g.machine.State() != "reading" {
+			return
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	deadline := time.Now().Add(s.idleTimeout)
-	if s.conns[c.RemoteAddr().String()].busy {
-		deadline = time.Time{}
+	if !s.conns[c.RemoteAddr().String()].busy {
+		_ = c.SetReadDeadline(time.Now().Add(s.idleTimeout))
 	}
-	_ = c.SetReadDeadline(deadline)
 }
 
 func (s *Server) limitBody() int { return min(s.bodyLimit(), s.maxBody) }
