anvillistener: bound the time of a header; close after a panic, not in flight

Found by review: a byte now and then kept a connection for up to 75 s, so that crowds held all slots, also those of the readiness check. A stop closed connections whose request had been in flight for 1 s. After a handler's panic the connection stayed open and kept its memory.

Change: a header has 10 s from its first bytes. A stop spares connections with a request in flight. A connection whose handler panicked is closed.

--- a/entry/anvillistener/gate.go
+++ b/entry/anvillistener/gate.go
@@ -60,7 +60,8 @@
 	answer    []byte // the response of a request that isn't admitted
 	discarded int
 	handled   int
-	timed     bool // the read deadline isn't that of an idle connection
+	// timed is set while the read deadline is that of a header or of a refusal instead of that of an idle connection.
+	timed bool
 }
 
 // countedConn counts the bytes that are written to the connection.
@@ -133,6 +134,7 @@
 				data := g.pending
 				g.pending = nil
 				g.feed(data)
+				g.limitHeader()
 				continue
 			}
 		case "discarding":
@@ -156,9 +158,26 @@
 		}
 		g.server.touch(g.conn)
 		g.input(buf[:n])
+		g.limitHeader()
 	}
 }
 
+// limitHeader bounds the time that a header takes. Bytes that arrive don't extend it.
+func (g *gate) limitHeader() {
+	if g.machine.State() != "reading" {
+		return
+	}
+	switch unfinished := g.read > 0 && !g.request.headDone; {
+	case unfinished && !g.timed:
+		_ = g.conn.SetReadDeadline(time.Now().Add(g.server.headerTimeout))
+	case !unfinished && g.timed:
+		_ = g.conn.SetReadDeadline(time.Now().Add(g.server.idleTimeout))
+	default:
+		return
+	}
+	g.timed = !g.timed
+}
+
 // input takes what was read from the socket.
 func (g *gate) input(data []byte) {
 	if g.machine.State() == "discarding" {
@@ -277,7 +296,15 @@
 	job := g.job
 	g.job = nil
 	g.conn.Execute(func() {
+		returned := false
+		defer func() {
+			// The answer of a handler that panicked is unknown, and the connection can't be used for another.
+			if !returned {
+				_ = g.conn.Close()
+			}
+		}()
 		job()
+		returned = true
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.fire("answered")
@@ -315,7 +342,7 @@
 // next begins to read the next request.
 func (g *gate) next() {
 	g.request.begin()
-	g.read, g.reserved = 0, 0
+	g.read, g.reserved, g.timed = 0, 0, false
 	if !g.server.memory.unpin(g.holder, bodyCopies*int64(len(g.pending))) {
 		g.abort()
 	}
--- a/entry/anvillistener/server.go
+++ b/entry/anvillistener/server.go
@@ -27,6 +27,9 @@
 	DefaultIdle = 75 * time.Second
 	// defaultWrite bounds the time to write what the socket doesn't take of a response at the end of its handler.
 	defaultWrite = 10 * time.Second
+	// defaultHeader bounds the time from the first bytes of a request to the end of its header. A client on a bad link sends a
+	// header of a few packets well within it.
+	defaultHeader = 10 * time.Second
 	// parserOverhead is added to the parser's limit for the request line and the framing, so that a request at its
 	// limits reaches the handler.
 	parserOverhead = 64 << 10
@@ -51,6 +54,7 @@
 	maxInFlight    int
 	idleTimeout    time.Duration
 	writeTimeout   time.Duration
+	headerTimeout  time.Duration
 	drain          func(context.Context) error
 	maxHeaderLines int
 	bodyLimit      func() int
@@ -146,7 +150,7 @@
 	s := &Server{
 		addr: addr, handler: handler, clock: anvilclock.NewSystem(), maxBody: defaultBody, maxHeaders: defaultHeaders,
 		maxConns: defaultConns, maxInFlight: defaultInFlight, idleTimeout: DefaultIdle,
-		writeTimeout: defaultWrite, conns: map[string]connection{}, empty: make(chan struct{}),
+		writeTimeout: defaultWrite, headerTimeout: defaultHeader, conns: map[string]connection{}, empty: make(chan struct{}),
 		drain:          func(context.Context) error { return nil },
 		maxHeaderLines: defaultHeaderLines, admit: func(*http.Request) []byte { return nil }, refusal: PlainRefusal,
 		onLimit: func(Refusal) {}, binding: bindConnection(),
@@ -383,7 +387,8 @@
 	return errors.Join(err, s.descriptors.close())
 }
 
-// idleConns marks the server as stopped and returns the connections that were not used for minIdleTime.
+// idleConns marks the server as stopped and returns the connections without a request in flight that were not used for
+// minIdleTime.
 func (s *Server) idleConns() []net.Conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -392,7 +397,7 @@
 	now := s.clock.Now()
 	var out []net.Conn
 	for _, c := range s.conns {
-		if now-c.lastUsed >= minIdleTime {
+		if !c.busy && now-c.lastUsed >= minIdleTime {
 			out = append(out, c.conn)
 		}
 	}
