--- a/entry/anvillistener/gate.go
+++ b/entry/anvillistener/gate.go
@@ -60,6 +60,8 @@
 	answer    []byte // the response of a request that isn't admitted
 	discarded int
 	handled   int
+	// timed is set while the read deadline is that of a header or of a refusal instead of that of an idle connection.
+	timed bool
 }
 
 // countedConn counts the bytes that are written to the connection.
@@ -132,6 +134,7 @@
 				data := g.pending
 				g.pending = nil
 				g.feed(data)
+				g.limitHeader()
 				continue
 			}
 		case "discarding":
@@ -155,9 +158,26 @@
 		}
 		g.server.touch(g.conn)
 		g.input(buf[:n])
+		g.limitHeader()
 	}
 }
 
+// limitHeader bounds the time that a header takes. Bytes that arrive don't extend it.
+func (g *gate) limitHeader() {
+	if g.machine.State() != "reading" {
+		return
+	}
+	switch unfinished := g.read > 0 && !g.request.headDone; {
+	case unfinished && !g.timed:
+		_ = g.conn.SetReadDeadline(time.Now().Add(g.server.headerTimeout))
+	case !unfinished && g.timed:
+		_ = g.conn.SetReadDeadline(time.Now().Add(g.server.idleTimeout))
+	default:
+		return
+	}
+	g.timed = !g.timed
+}
+
 // input takes what was read from the socket.
 func (g *gate) input(data []byte) {
 	if g.machine.State() == "discarding" {
@@ -209,6 +229,10 @@
 				return
 			}
 		}
+		if !r.headDone && !r.scan.valid(part) {
+			g.refuseLocked(Malformed)
+			return
+		}
 		err := g.parser.Parse(part)
 		if refusal := g.check(err); refusal != "" {
 			g.refuseLocked(refusal)
@@ -234,7 +258,7 @@
 		return HeadersTooLarge
 	case errors.Is(err, nbhttp.ErrTooLong):
 		return BodyTooLarge
-	case err != nil:
+	case err != nil, r.ambiguous:
 		return Malformed
 	case r.lines > s.maxHeaderLines, !r.headDone && g.read > s.maxHeaders+parserOverhead:
 		return HeadersTooLarge
@@ -272,7 +296,15 @@
 	job := g.job
 	g.job = nil
 	g.conn.Execute(func() {
+		returned := false
+		defer func() {
+			// The answer of a handler that panicked is unknown, and the connection can't be used for another.
+			if !returned {
+				_ = g.conn.Close()
+			}
+		}()
 		job()
+		returned = true
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.fire("answered")
@@ -310,7 +342,7 @@
 // next begins to read the next request.
 func (g *gate) next() {
 	g.request.begin()
-	g.read, g.reserved = 0, 0
+	g.read, g.reserved, g.timed = 0, 0, false
 	if !g.server.memory.unpin(g.holder, bodyCopies*int64(len(g.pending))) {
 		g.abort()
 	}
@@ -338,6 +370,7 @@
 		out = s.refusal(g.refusal, g.request.head)
 	}
 	g.discard()
+	g.timed = true
 	_ = g.conn.SetReadDeadline(time.Now().Add(discardTimeout))
 	if g.tls != nil {
 		_, _ = g.tls.Write(out)
