anvilintake: refuse no job that an earlier call may store

A job was refused for lack of capacity while the same instance held a submission of its id, or after a commit of it that got no answer and that the store can still apply.

--- a/entry/anvilintake/batch.go
+++ b/entry/anvilintake/batch.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"anvilhold.org/entry/anvilstorage"
+	"anvilhold.org/lib/anvilclock"
 )
 
 // maxBatch is the largest number of submissions in a transaction; each takes three of its 100 entries.
@@ -20,6 +21,7 @@
 	waiting []*batchEntry
 	byID    map[string]*batchEntry
 	running bool
+	unknown *unknownCommits
 }
 
 // batchEntry is a submission that waits for a transaction or is part of the one in flight.
@@ -34,7 +36,9 @@
 	err     error
 }
 
-func newBatcher(s Store) *batcher { return &batcher{store: s, byID: map[string]*batchEntry{}} }
+func newBatcher(s Store, clock anvilclock.Clock) *batcher {
+	return &batcher{store: s, byID: map[string]*batchEntry{}, unknown: newUnknownCommits(clock)}
+}
 
 var errNotSent = errors.New("nothing was sent")
 
@@ -90,9 +94,27 @@
 func (b *batcher) finish(e *batchEntry, r anvilstorage.Receipt, err error) {
 	e.receipt, e.err = r, err
 	delete(b.byID, e.id)
+	if err != nil && anvilstorage.As(err).Kind() == anvilstorage.Unknown {
+		b.unknown.add(e.id)
+	}
 	close(e.done)
 }
 
+// mayStore reports whether a submission of an id waits, is in flight, or has ended without an answer so recently that the
+// store may still apply it.
+func (b *batcher) mayStore(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.byID[id] != nil || b.unknown.has(id)
+}
+
+// addUnknown records a submission that another instance may have sent to the store.
+func (b *batcher) addUnknown(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unknown.add(id)
+}
+
 // run stores the waiting submissions batch by batch and returns when none is left.
 func (b *batcher) run() {
 	for {
--- a/entry/anvilintake/forward.go
+++ b/entry/anvilintake/forward.go
@@ -69,6 +69,9 @@
 	reply, unknown := in.decide(ctx, kind, c, spec)
 	if reply.result == Refused && in.control.Connectivity().Partitioned() {
 		reply, unknown = in.forward(ctx, kind, c, spec, reply, unknown)
+		if a, rejection := in.admit(c); unknown && kind == KindSubmit && rejection == nil {
+			in.batch.addUnknown(a.id)
+		}
 	}
 	reply = refusedOrUnknown(reply, unknown)
 	in.record(string(kind), c, reply, begin)
--- a/entry/anvilintake/intake.go
+++ b/entry/anvilintake/intake.go
@@ -67,7 +67,7 @@
 // New returns an intake. All arguments are required.
 func New(store Store, control Control, notifier Notifier, forwarder Forwarder, log *anvilevent.Log, meter Meter) *Intake {
 	return &Intake{
-		store: store, control: control, notifier: notifier, forwarder: forwarder, log: log, meter: meter, batch: newBatcher(store),
+		store: store, control: control, notifier: notifier, forwarder: forwarder, log: log, meter: meter, batch: newBatcher(store, control.Clock()),
 		gate: anviladmission.NewGate(),
 	}
 }
--- a/entry/anvilintake/intake_test.go
+++ b/entry/anvilintake/intake_test.go
@@ -371,7 +371,7 @@
 	t.Run("submissions during a commit share the next transaction", func(t *testing.T) {
 		// Guards against loading a slow store with a transaction for each submission.
 		s := &store{gate: make(chan struct{})}
-		b := newBatcher(s)
+		b := newBatcher(s, anvilclock.NewManual(0))
 		results := make(chan error, 4)
 		put := func(id string) {
 			_, err := b.commit(t.Context(), nil, id, row(id), 1)
@@ -404,7 +404,7 @@
 	})
 	t.Run("a batch is no larger than the store accepts", func(t *testing.T) {
 		// Guards against a transaction of large submissions that the store refuses as a whole, again and again.
-		b := newBatcher(&store{})
+		b := newBatcher(&store{}, anvilclock.NewManual(0))
 		for i := range maxBatch {
 			rows := row(strconv.Itoa(i))
 			rows[0] = anvilstorage.NewRow(anvilstorage.Intake, rows[0].Key(), make([]byte, anvilstorage.MaxRowBytes))
@@ -421,7 +421,7 @@
 	t.Run("a stored id does not fail the others of its batch", func(t *testing.T) {
 		// Guards against a submission that fails because the id of another submission in its batch is already stored.
 		s := &store{errs: []error{anvilstorage.NewConflict([]anvilstorage.Row{anvilstorage.ReadRow(anvilstorage.States, "a", nil, 4, false)}, nil)}}
-		b := newBatcher(s)
+		b := newBatcher(s, anvilclock.NewManual(0))
 		b.running = true
 		errs := make(chan error, 2)
 		for _, id := range []string{"a", "b"} {
@@ -440,7 +440,7 @@
 	})
 	t.Run("a submission that was not sent is withdrawn", func(t *testing.T) {
 		// Guards against a job that runs after its caller got a refusal.
-		b := newBatcher(&store{})
+		b := newBatcher(&store{}, anvilclock.NewManual(0))
 		b.running = true
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
