anvilscheduler: report no shortage beside free capacity

Work that waited for its team's limit or for a label of few workers counted as a shortage of the pool, and jobs of all teams were refused with 16 of 160 cores in use. Such work takes no part in the search any more, which has nothing to do while no stage of a pool is late or a quarter of the pool is free, and looks at no more than 500 stages, the most urgent first.

The four cases of TestNoShortageOfCapacity failed before.

--- a/entry/anvilscheduler/backlog.go
+++ b/entry/anvilscheduler/backlog.go
@@ -15,35 +15,70 @@
 // and each update looks at all running tasks.
 const backlogInterval = anvilclock.Millis(200)
 
+// maxSearchedStages bounds the stages of a pool that one search looks at, the most urgent first. The control loop waits for it.
+const maxSearchedStages = 500
+
 // updateBacklog decides for each pool which of the ready stages get no capacity while their jobs have a value, and publishes the
-// shortages. Long-running stages, and those beyond their team's share or without a value, take no part.
+// shortages. There is none in a pool in which no stage is late.
 func (p *passState) updateBacklog(list []readyStage) {
 	if p.now-p.loop.workload.lastBacklog < backlogInterval {
 		return
 	}
 	p.loop.workload.lastBacklog = p.now
-	pools := map[string][]readyStage{}
-	for _, r := range list {
-		if !r.stage.step.LongRunning() && (r.urgency.band == bandTimely || r.urgency.band == bandLate) {
-			pools[r.queue.Pool()] = append(pools[r.queue.Pool()], r)
+	pools, late := map[string][]readyStage{}, map[string]bool{}
+	for _, r := range p.limitedByPools(list) {
+		pool := r.queue.Pool()
+		late[pool] = late[pool] || r.urgency.band == bandLate
+		if len(pools[pool]) < maxSearchedStages {
+			pools[pool] = append(pools[pool], r)
 		}
 	}
 	var shortages []anviladmission.Shortage
 	for pool, waiting := range pools {
-		if p.contested(pool, waiting) {
+		if late[pool] && p.contested(pool, waiting) {
 			shortages = append(shortages, p.shortagesOf(pool, waiting, p.classify(pool, waiting))...)
 		}
 	}
 	p.loop.publishBacklog(shortages, p.now)
 }
 
+// limitedByPools returns the stages that only the capacity of their pool can keep waiting. Long-running stages, those that need
+// certain workers, and those beyond their team's limit or share or without a value are left out: that they wait says nothing about
+// the pool.
+func (p *passState) limitedByPools(list []readyStage) []readyStage {
+	var out []readyStage
+	used := map[string]anvilsize.Size{}
+	for _, r := range list {
+		step := r.stage.step
+		if step.LongRunning() || step.Label() != "" || step.Rack() != "" || r.urgency.band > bandLate {
+			continue
+		}
+		if team, ok := p.loop.state.policy.Team(r.stage.job.sub.Team()); ok {
+			with := used[team.Name()].Add(step.Size().Scale(int64(r.stage.waiting)))
+			if !team.WithinLimit(p.loop.workload.usage[team.Name()].Add(with)) {
+				continue
+			}
+			used[team.Name()] = with
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
 // There is no shortage while at most one in minUsableDivisor workers of a pool is schedulable: a new leader has to reach
 // them first, and knows too little of the capacity.
 const minUsableDivisor = 2
 
+// minContestedUse is the use of a pool, in parts per million, from which on there can be a shortage. Below it, what waits has
+// other reasons than the capacity.
+const minContestedUse = 750_000
+
 // contested reports whether a pool has no capacity for all stages that wait for it.
 func (p *passState) contested(pool string, waiting []readyStage) bool {
 	snap := p.pool(pool)
+	if snap.used.Dominant(snap.capacity) <= minContestedUse {
+		return false
+	}
 	needed := snap.used
 	for _, r := range waiting {
 		needed = needed.Add(r.stage.waitingSize())
--- a/entry/anvilscheduler/backlog_test.go
+++ b/entry/anvilscheduler/backlog_test.go
@@ -7,6 +7,7 @@
 	"anvilhold.org/lib/anviladmission"
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anviljob"
+	"anvilhold.org/lib/anvilpolicy"
 )
 
 // refuses reports whether an instance would refuse a quick job with a number of tasks.
@@ -86,3 +87,49 @@
 	b.harness = next
 	b.finish(t)
 }
+
+// Guards against refusals beside free capacity, because work waits for something else than the capacity of the pool.
+func TestNoShortageOfCapacity(t *testing.T) {
+	limited := anvilpolicy.WithTeams(anvilpolicy.NewTeam("capped", 1000, core(16), []string{"c"}))
+	t.Run("a team's limit", func(t *testing.T) {
+		b := newBurstLoad(t, limited)
+		assertNeverRefused(t, b, func(id string, tasks int) { b.submit("capped", id, tasks, quickLength) })
+	})
+	t.Run("a team's limit, and long runs of others", func(t *testing.T) {
+		b := newBurstLoad(t, limited)
+		b.submit("", "l", 68, 60_000)
+		assertNeverRefused(t, b, func(id string, tasks int) { b.submit("capped", id, tasks, quickLength) })
+	})
+	t.Run("a label of one worker", func(t *testing.T) {
+		b := newBurstLoad(t)
+		b.cluster.addWorker("x", core(8), "special")
+		b.cluster.advance(reactionTime, b.harness)
+		assertNeverRefused(t, b, func(id string, tasks int) { b.submitLabelled(id, tasks) })
+	})
+	t.Run("a label of one worker, and long runs of others", func(t *testing.T) {
+		b := newBurstLoad(t)
+		b.cluster.addWorker("x", core(8), "special")
+		b.submit("", "l", 68, 60_000)
+		b.cluster.advance(reactionTime, b.harness)
+		assertNeverRefused(t, b, func(id string, tasks int) { b.submitLabelled(id, tasks) })
+	})
+}
+
+func (b *burstLoad) submitLabelled(id string, tasks int) {
+	b.submitted[id], b.length[id] = b.cluster.clock.Now(), quickLength
+	b.cluster.submit(id, quickQueue, "", anviljob.NewStep(tasks, core(2), anviljob.WithEstimate(quickLength), anviljob.WithLabel("special")))
+}
+
+// assertNeverRefused submits quick jobs for a time and fails when another one would be refused.
+func assertNeverRefused(t *testing.T, b *burstLoad, submit func(id string, tasks int)) {
+	t.Helper()
+	for at := anvilclock.Millis(0); at < 3500; at += 25 {
+		for i := range 3 {
+			submit(fmt.Sprintf("q%05d-%d", at, i), 1+(int(at/25)+i)%8)
+		}
+		b.advance()
+		if b.harness.refuses(t, 8) {
+			t.Fatalf("refused after %d ms with %d tasks at work", at, len(b.cluster.running()))
+		}
+	}
+}
