anviladmission: refuse only jobs that need no less in each respect

Only the work was compared, so that twenty steps of a second in sequence were refused because ten parallel ones had no capacity, although their objective is twenty times as long. A shortage now states the work, the widest step and the longest chain of one job without capacity, and a job is refused when it takes as much, is as wide in each dimension and has no longer chain. Callers are spread over no more than the objective of their job.

The serial case of TestRefuses failed before on the reviewed code.

--- a/entry/anvilintake/overload.go
+++ b/entry/anvilintake/overload.go
@@ -19,7 +19,7 @@
 	if unknown {
 		return nil
 	}
-	retry, refused := in.gate.Refuses(in.control.Backlog(), in.control.Clock().Now(), a.id, a.queue.Name(), spec)
+	retry, refused := in.gate.Refuses(in.control.Backlog(), in.control.Clock().Now(), a.id, a.queue, spec)
 	if !refused {
 		return nil
 	}
--- a/entry/anvilintake/overload_test.go
+++ b/entry/anvilintake/overload_test.go
@@ -16,7 +16,7 @@
 func newFullHarness(t *testing.T) *harness {
 	t.Helper()
 	h := newHarness(t)
-	h.control.backlog = anviladmission.NewBacklog(h.control.clock.Now(), anviladmission.NewShortage("keyed", anvilsize.New(1000, 1000, 0), 0, 3000))
+	h.control.backlog = anviladmission.NewBacklog(h.control.clock.Now(), anviladmission.NewShortage("keyed", anvilsize.New(1000, 1000, 0), anviladmission.Demand{}, 3000))
 	return h
 }
 
--- a/entry/anvilscheduler/backlog.go
+++ b/entry/anvilscheduler/backlog.go
@@ -120,9 +120,9 @@
 
 // shortageSummary is what the unmet stages of a queue say about new jobs.
 type shortageSummary struct {
-	// cost is the least work of a job that has not begun and could still meet its objective if there were capacity; 0 if
-	// there is none.
-	cost int64
+	// demand is that of the job with the least work of those that have not begun and could still meet their objectives if
+	// there were capacity.
+	demand anviladmission.Demand
 	// work is the work of all of them.
 	work anvilsize.Size
 }
@@ -141,14 +141,18 @@
 			queues[r.queue.Name()] = q
 		}
 		q.work = q.work.Add(r.stage.waitingSize().Scale(int64(r.stage.step.Estimate())))
-		if cost := r.stage.job.remainingWork(total); r.fresh(p.now) && (q.cost == 0 || cost < q.cost) {
-			q.cost = cost
+		if !r.fresh(p.now) {
+			continue
+		}
+		demand := anviladmission.DemandOf(r.stage.job.sub.Spec(), total)
+		if q.demand.Cost() == 0 || demand.Cost() < q.demand.Cost() {
+			q.demand = demand
 		}
 	}
 	var out []anviladmission.Shortage
 	for name, q := range queues {
-		if q.cost > 0 {
-			out = append(out, anviladmission.NewShortage(name, total, q.cost, timeFor(q.work, total)))
+		if q.demand.Cost() > 0 {
+			out = append(out, anviladmission.NewShortage(name, total, q.demand, timeFor(q.work, total)))
 		}
 	}
 	return out
--- a/entry/anvilscheduler/backlog_test.go
+++ b/entry/anvilscheduler/backlog_test.go
@@ -17,7 +17,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, refused := anviladmission.NewGate().Refuses(h.loop.Backlog(), h.cluster.clock.Now(), "id", quickQueue, spec)
+	q, _ := h.loop.state.policy.Queue(quickQueue)
+	_, refused := anviladmission.NewGate().Refuses(h.loop.Backlog(), h.cluster.clock.Now(), "id", q, spec)
 	return refused
 }
 
--- a/lib/anviladmission/backlog.go
+++ b/lib/anviladmission/backlog.go
@@ -11,19 +11,19 @@
 	"anvilhold.org/lib/anvilsize"
 )
 
-// Shortage says that a pool has no capacity for some jobs of a queue.
+// Shortage says that a pool has no capacity for some jobs of a queue: those that need no less than demand in each respect, and
+// whose objective is no longer.
 type Shortage struct {
-	queue string
-	total anvilsize.Size
-	cost  int64
-	wait  anvilclock.Millis
+	queue  string
+	total  anvilsize.Size
+	demand Demand
+	wait   anvilclock.Millis
 }
 
-// NewShortage returns a shortage for the jobs of a queue that take at least cost, as Cost returns it for the total size of
-// the pool: one that came now would get no capacity before it has no value. The work that waits without capacity would take the
-// whole pool for wait.
-func NewShortage(queue string, total anvilsize.Size, cost int64, wait anvilclock.Millis) Shortage {
-	return Shortage{queue: queue, total: total, cost: cost, wait: wait}
+// NewShortage returns a shortage of a queue in a pool of a total size: a job with a demand, as DemandOf returns it, would get no
+// capacity before it has no value. The work that waits without capacity would take the whole pool for wait.
+func NewShortage(queue string, total anvilsize.Size, demand Demand, wait anvilclock.Millis) Shortage {
+	return Shortage{queue: queue, total: total, demand: demand, wait: wait}
 }
 
 // Queue returns the queue whose jobs a shortage concerns.
@@ -50,6 +50,8 @@
 	Queue string   `json:"queue"`
 	Total [3]int64 `json:"total"`
 	Cost  int64    `json:"cost"`
+	Path  int64    `json:"path"`
+	Width [3]int64 `json:"width"`
 	Wait  int64    `json:"wait"`
 }
 
@@ -61,8 +63,8 @@
 	var out []shortageText
 	for _, s := range b.shortages[:min(len(b.shortages), maxShortages)] {
 		out = append(out, shortageText{
-			Queue: s.queue, Cost: s.cost, Wait: int64(s.wait),
-			Total: [3]int64{s.total.CPU(), s.total.Memory(), s.total.Accel()},
+			Queue: s.queue, Total: amounts(s.total), Wait: int64(s.wait),
+			Cost: s.demand.cost, Path: int64(s.demand.path), Width: amounts(s.demand.width),
 		})
 	}
 	text, err := json.Marshal(out)
@@ -73,6 +75,10 @@
 	return string(text)
 }
 
+func amounts(s anvilsize.Size) [3]int64 { return [3]int64{s.CPU(), s.Memory(), s.Accel()} }
+
+func sizeOf(a [3]int64) anvilsize.Size { return anvilsize.New(a[0], a[1], a[2]) }
+
 // Decode returns the backlog that Encode has encoded, as known at a local time.
 func Decode(text string, at anvilclock.Millis) (*Backlog, error) {
 	if text == "" {
@@ -84,8 +90,8 @@
 	}
 	b := NewBacklog(at)
 	for _, s := range in {
-		total := anvilsize.New(s.Total[0], s.Total[1], s.Total[2])
-		b.shortages = append(b.shortages, NewShortage(s.Queue, total, s.Cost, anvilclock.Millis(s.Wait)))
+		demand := Demand{cost: s.Cost, path: anvilclock.Millis(s.Path), width: sizeOf(s.Width)}
+		b.shortages = append(b.shortages, NewShortage(s.Queue, sizeOf(s.Total), demand, anvilclock.Millis(s.Wait)))
 	}
 	return b, nil
 }
--- a/lib/anviladmission/gate.go
+++ b/lib/anviladmission/gate.go
@@ -6,25 +6,20 @@
 
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anviljob"
-	"anvilhold.org/lib/anvilsize"
 )
 
-// Cost returns the work of a job that is compared with shortages: the estimated time of its tasks, each times its share of a
-// total size in parts per million.
-func Cost(spec *anviljob.Spec, total anvilsize.Size) int64 {
-	sum := int64(0)
-	for i := range spec.Steps() {
-		s := spec.Step(i)
-		sum += s.Reservation().Dominant(total) * int64(s.Estimate()) * int64(s.Count())
-	}
-	return sum
+// Queue is what a gate uses of a queue.
+type Queue interface {
+	Name() string
+	Objective(criticalPath anvilclock.Millis) anvilclock.Millis
 }
 
 // Limits of decisions.
 const (
 	// maxBacklogAge is the age up to which a backlog is used. Bursts end within seconds.
 	maxBacklogAge = anvilclock.Millis(1500)
-	// minRetry is the shortest time after which a refused caller may return, maxSpread that over which callers are spread.
+	// minRetry is the shortest time after which a refused caller may return, maxSpread the longest one over which callers are
+	// spread.
 	minRetry  = anvilclock.Millis(1000)
 	maxSpread = anvilclock.Millis(10_000)
 	// returningFactor is how much more a job that was refused before may take than a new one.
@@ -46,8 +41,9 @@
 func NewGate() *Gate { return &Gate{refused: map[string]bool{}} }
 
 // Refuses reports whether a job would get no capacity while it has a value, and when its caller may return. Jobs that don't end
-// and those with set times are never refused.
-func (g *Gate) Refuses(b *Backlog, now anvilclock.Millis, id, queue string, spec *anviljob.Spec) (anvilclock.Millis, bool) {
+// and those with set times are never refused. Callers are spread over no more than the job's objective, so that waiting does not
+// cost more than it gains.
+func (g *Gate) Refuses(b *Backlog, now anvilclock.Millis, id string, q Queue, spec *anviljob.Spec) (anvilclock.Millis, bool) {
 	if b.Empty() || now-b.at > maxBacklogAge || spec.LongRunning() || spec.Repeat().Timed() {
 		return 0, false
 	}
@@ -56,8 +52,9 @@
 		factor = returningFactor
 	}
 	for _, s := range b.shortages {
-		if s.queue == queue && Cost(spec, s.total) >= s.cost*factor {
-			return minRetry + spread(id, min(s.wait, maxSpread)), true
+		if s.queue == q.Name() && DemandOf(spec, s.total).exceeds(s.demand, factor) {
+			objective := max(q.Objective(spec.CriticalPath(0)), minRetry)
+			return minRetry + spread(id, min(s.wait, maxSpread, objective)), true
 		}
 	}
 	return 0, false
--- a/lib/anviladmission/gate_test.go
+++ b/lib/anviladmission/gate_test.go
@@ -6,13 +6,16 @@
 
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anviljob"
+	"anvilhold.org/lib/anvilpolicy"
 	"anvilhold.org/lib/anvilsize"
 	"anvilhold.org/lib/internal/anvilassert"
 )
 
-const (
-	queue = "quick"
-	now   = anvilclock.Millis(50_000)
+const now = anvilclock.Millis(50_000)
+
+var (
+	queue = anvilpolicy.NewQueue("quick", "h", "/q/", "pool", anvilpolicy.WithObjective(1, 9000))
+	other = anvilpolicy.NewQueue("other", "h", "/o/", "pool")
 )
 
 func core(n int64) anvilsize.Size { return anvilsize.New(n*1000, 0, 0) }
@@ -25,10 +28,26 @@
 	return s
 }
 
+// serial returns a job of steps with one task each that run one after another.
+func serial(t *testing.T, steps int, size anvilsize.Size) *anviljob.Spec {
+	t.Helper()
+	list := make([]anviljob.Step, 0, steps)
+	for i := range steps {
+		opts := []anviljob.StepOption{anviljob.WithEstimate(1000)}
+		if i > 0 {
+			opts = append(opts, anviljob.WithAfter(i-1))
+		}
+		list = append(list, anviljob.NewStep(1, size, opts...))
+	}
+	s, err := anviljob.NewSpec("payload", list, anviljob.Repeat{})
+	anvilassert.NoError(t, err)
+	return s
+}
+
 // full returns a backlog of a pool of 100 cores without capacity for jobs of ten tasks or more.
 func full(t *testing.T) *Backlog {
 	t.Helper()
-	return NewBacklog(now, NewShortage(queue, core(100), Cost(spec(t, 10), core(100)), 4000))
+	return NewBacklog(now, NewShortage(queue.Name(), core(100), DemandOf(spec(t, 10), core(100)), 4000))
 }
 
 func assertRefused(t *testing.T, b *Backlog, at anvilclock.Millis, s *anviljob.Spec, want bool) {
@@ -47,9 +66,21 @@
 	t.Run("no leader", func(t *testing.T) { assertRefused(t, nil, now, spec(t, 10), false) })
 	t.Run("old knowledge", func(t *testing.T) { assertRefused(t, full(t), now+maxBacklogAge+1, spec(t, 10), false) })
 	t.Run("another queue", func(t *testing.T) {
-		_, got := NewGate().Refuses(full(t), now, "id", "other", spec(t, 10))
+		_, got := NewGate().Refuses(full(t), now, "id", other, spec(t, 10))
 		anvilassert.Equal(t, "refused", got, false)
 	})
+	t.Run("a job with the same work in one step after another", func(t *testing.T) {
+		assertRefused(t, full(t), now, serial(t, 20, core(1)), false)
+	})
+	t.Run("a job with more work in a longer chain of steps", func(t *testing.T) {
+		assertRefused(t, full(t), now, serial(t, 2, core(10)), false)
+	})
+	t.Run("a job that needs nothing of what lacks", func(t *testing.T) {
+		total, lacking := anvilsize.New(100_000, 0, 8), serial(t, 1, anvilsize.New(1000, 0, 1))
+		b := NewBacklog(now, NewShortage(queue.Name(), total, DemandOf(lacking, total), 4000))
+		assertRefused(t, b, now, spec(t, 100), false)
+		assertRefused(t, b, now, lacking, true)
+	})
 	t.Run("a job that does not end", func(t *testing.T) {
 		assertRefused(t, full(t), now, spec(t, 10, anviljob.WithLongRunning(true)), false)
 	})
@@ -88,6 +119,15 @@
 	anvilassert.Equal(t, "seconds in which callers return", len(seconds), 4)
 }
 
+// Guards against callers who are sent away for longer than their jobs may take.
+func TestRetryWithinObjective(t *testing.T) {
+	short := anvilpolicy.NewQueue(queue.Name(), "h", "/q/", "pool", anvilpolicy.WithObjective(1, 500))
+	for i := range 400 {
+		after, _ := NewGate().Refuses(full(t), now, fmt.Sprintf("%016x", i), short, spec(t, 10))
+		anvilassert.True(t, after >= minRetry && after < minRetry+1500, "retry after %d", after)
+	}
+}
+
 // Guards against an instance that refuses by other shortages than the leader's.
 func TestEncode(t *testing.T) {
 	b, err := Decode(full(t).Encode(), now)
