anvilorder: search each dimension in a heap of its own

When a dimension was exhausted and only an entitled stage needed it, each further stage took all others out of the one heap and put them back: the work grew with the square of the stages, on the control loop. There is now a heap for each dimension, of the stages that take capacity in it.

TestExhaustedDimension failed before, with 26,461 allocations for 400 stages and 1,835,833 for 1,600.

--- a/lib/anvilorder/order.go
+++ b/lib/anvilorder/order.go
@@ -21,8 +21,8 @@
 
 // The classes, the most urgent first.
 const (
-	Timely Class = iota // within its objective
-	Late                // later, while its job still has a value
+	timely Class = iota // within its objective
+	late                // later, while its job still has a value
 	Unmet               // not while its job has a value
 )
 
@@ -80,7 +80,7 @@
 		kept[i].fixed = true
 	}
 	for _, it := range second {
-		classes[it.index] = Late
+		classes[it.index] = late
 	}
 	_, dropped = f.selectMeetable(append(kept, second...))
 	for _, it := range dropped {
@@ -102,15 +102,15 @@
 func (f *Forecast) selectMeetable(items []item) (kept, dropped []item) {
 	slices.SortFunc(items, func(a, b item) int { return cmp.Or(cmp.Compare(a.by, b.by), cmp.Compare(a.index, b.index)) })
 	out := make([]bool, len(items))
-	h := &costliest{items: items}
+	victims := newVictims(items)
 	d := newDemand(f.now)
 	for i, it := range items {
 		d.add(it.stage, it.by)
 		if !it.fixed {
-			heap.Push(h, i)
+			victims.push(i)
 		}
 		for dim, ok := f.fits(d); !ok; dim, ok = f.fits(d) {
-			n, found := f.popVictim(h, dim, d)
+			n, found := f.popVictim(victims[dim], out, dim, d)
 			if !found {
 				break
 			}
@@ -128,25 +128,15 @@
 	return kept, dropped
 }
 
-// popVictim removes the costliest item from the heap that takes capacity in a dimension. Items that their queue is entitled
-// to leave the heap, but stay selected.
-func (f *Forecast) popVictim(h *costliest, dim anvilsize.Dimension, d *demand) (int, bool) {
-	var others []int
-	defer func() {
-		for _, n := range others {
-			heap.Push(h, n)
-		}
-	}()
+// popVictim removes the costliest item that is still selected from the heap of a dimension. Items that their queue is entitled to
+// leave the heap, but stay selected.
+func (f *Forecast) popVictim(h *costliest, out []bool, dim anvilsize.Dimension, d *demand) (int, bool) {
 	for h.Len() > 0 {
 		n, ok := heap.Pop(h).(int)
 		if !ok {
 			break
 		}
-		s := h.items[n].stage
-		switch {
-		case s.size.In(dim) <= 0:
-			others = append(others, n)
-		case !f.entitled(s, d, dim):
+		if !out[n] && !f.entitled(h.items[n].stage, d, dim) {
 			return n, true
 		}
 	}
@@ -160,6 +150,26 @@
 	return f.running[s.queue].In(dim) < least && d.queues[s.queue].In(dim)-s.size.In(dim) < least
 }
 
+// victims holds a heap for each dimension, of the items that take capacity in it: a search in one that has none of it left
+// looks at no others.
+type victims []*costliest
+
+func newVictims(items []item) victims {
+	v := make(victims, len(anvilsize.Dimensions()))
+	for i := range v {
+		v[i] = &costliest{items: items}
+	}
+	return v
+}
+
+func (v victims) push(n int) {
+	for dim, h := range v {
+		if h.items[n].stage.size.In(anvilsize.Dimension(dim)) > 0 {
+			heap.Push(h, n)
+		}
+	}
+}
+
 // costliest is a heap of indices of items. The first is of the least urgent queue, and takes the most capacity.
 type costliest struct {
 	items []item
