--- a/entry/anvilscheduler/bench_test.go
+++ b/entry/anvilscheduler/bench_test.go
@@ -58,26 +58,34 @@
 	}
 }
 
-// BenchmarkBacklog measures the search for shortages in a full pool, with 700 stages or more that wait.
+// BenchmarkBacklog measures a search for shortages in a full pool with 1,600 late stages.
 func BenchmarkBacklog(b *testing.B) {
-	for _, workers := range []int{350, 3000} {
+	for _, workers := range []int{350, 5600} {
 		b.Run(fmt.Sprintf("%d workers", workers), func(b *testing.B) {
 			fc := newFakeCluster(b, testPolicy())
 			for i := range workers {
-				fc.addWorker(fmt.Sprintf("w%04d", i), core(64))
+				fc.addWorker(fmt.Sprintf("w%04d", i), core(32))
 			}
 			h := fc.newHarness("e1")
 			fc.advance(firstClaimTime, h)
-			for i := range 700 + workers/10 {
-				fc.submit(fmt.Sprintf("a%04d", i), plainQueue, "", anviljob.NewStep(10, core(64), anviljob.WithEstimate(600)))
+			for i := range workers / 350 {
+				fc.submit(fmt.Sprintf("l%02d", i), plainQueue, "", anviljob.NewStep(350, core(31), anviljob.WithEstimate(600_000)))
+				fc.advance(reactionTime, h)
+			}
+			for i := range 1600 {
+				fc.submit(fmt.Sprintf("a%04d", i), plainQueue, "", anviljob.NewStep(10, core(3), anviljob.WithEstimate(600)))
 			}
 			fc.advance(reactionTime, h)
-			l, now := h.loop, fc.clock.Now()
-			list := l.readyStages(now)
-			b.ReportMetric(float64(len(list)), "stages")
-			b.ResetTimer()
+			l := h.loop
+			list := l.readyStages(fc.clock.Now())
+			for i := range list {
+				list[i].urgency.band = bandLate
+			}
+			if p := (&passState{loop: l, now: fc.clock.Now(), pools: map[string]*poolSnapshot{}}); !p.contested(poolName, list[:maxSearchedStages]) {
+				b.Fatal("the pool is not contested")
+			}
 			for b.Loop() {
-				p := &passState{loop: l, now: now, pools: map[string]*poolSnapshot{}}
+				p := &passState{loop: l, now: fc.clock.Now(), pools: map[string]*poolSnapshot{}}
 				l.workload.lastBacklog = 0
 				p.updateBacklog(list)
 			}
