anvilscheduler, platform: bar late starts by a raised token and a hold that waits for the next process

A task whose first start got no answer ran a second time, after its end `done` had been acknowledged: the start was carried out a few tens of milliseconds after the worker's next process had begun.

Cause: the leader asked an exposed worker every 200 ms, so it learned of the crash and reached the next process up to 200 ms late, and then needed a second order: its hold carried the token of the late start, and only the stop after the answer barred it.

Change: the token is raised with the commit that stores the end, and the end is acknowledged only by an order that carries the raised one, so every later order bars the start at whichever process it reaches. While a start is open, a hold waits at the worker: it fails as soon as the process ends, and is then sent again every 5 ms until a process accepts the connection.

Why it works: the first order of the leader that the next process gets refuses the late start by its token. What remains is the time between the moment at which the process begins to listen and the next attempt to connect.

--- a/entry/anvilscheduler/exposure.go
+++ b/entry/anvilscheduler/exposure.go
@@ -3,8 +3,10 @@
 import "anvilhold.org/lib/anvilclock"
 
 // A start without an answer may be carried out seconds later, also by the next process of the worker, which has no token, run or
-// end by which it could refuse it. If the run has ended meanwhile, the task would start again. So a worker at which such a start may
-// arrive is asked often until it is too late for that: its next process then gets a stop of the run soon after it has started.
+// end by which it could refuse it. If the run has ended meanwhile, the task would start again. So the token is raised with the commit
+// that stores the end, all later orders carry the raised one, and the first of them that a process gets makes it refuse the start.
+// Until it is too late for the start, a hold waits at the worker, which fails as soon as its process ends, and is sent again until
+// the next process gets it.
 
 // exposed reports whether a start may arrive at the worker although its run isn't bound there any more.
 func (w *worker) exposed(now anvilclock.Millis) bool {
@@ -16,6 +18,15 @@
 	return false
 }
 
+// barLateStart requests a raised token for the worker from which a task is being unbound, if a start of its run may still arrive and
+// no token is or will be raised above that of the start.
+func (l *Loop) barLateStart(t *task) {
+	w, key := t.worker, startKey{t, t.run}
+	if w.startOpen(key, l.clock.Now()) && max(w.fence, w.barringFence) <= w.lateStarts[key].fence {
+		w.barringFence = l.requestFence()
+	}
+}
+
 // recordFormerStart records that a run which has ended may have been started by a former leader, whose attempt may have got no
 // answer. The run isn't bound here any more if the former leader has stored its end.
 func (l *Loop) recordFormerStart(w *worker, e RunEnd) {
@@ -38,3 +49,21 @@
 	s, ok := w.lateStarts[key]
 	return ok && now-s.at < lateOrderWindow
 }
+
+// probeInterval returns the pause between two holds of a worker that doesn't answer.
+func (w *worker) probeInterval(exposed bool) anvilclock.Millis {
+	switch {
+	case exposed && w.failures == 1:
+		return 0
+	case exposed:
+		return exposedProbeInterval
+	default:
+		return probeInterval
+	}
+}
+
+// reconnectInterval returns the pause between two attempts to connect to a worker. It grows with the number of workers that don't
+// answer, so that the attempts take a bounded share of the processor.
+func (l *Loop) reconnectInterval() anvilclock.Millis {
+	return reconnectInterval * anvilclock.Millis(1+l.fleet.probesInFlight/reconnectsPerInterval)
+}
--- a/entry/anvilscheduler/exposure_test.go
+++ b/entry/anvilscheduler/exposure_test.go
@@ -1,7 +1,6 @@
 package anvilscheduler
 
 import (
-	"context"
 	"fmt"
 	"testing"
 
@@ -30,13 +29,48 @@
 			assertEqual(t, "the end is acknowledged", fc.acknowledged[late.task], true)
 			fc.workers["w1"].restart()
 			fc.advance(300, h)
-			if _, err := fc.Start(context.Background(), NewTarget("w1", "w1:1"), late); err == nil {
-				t.Error("the next process carries out the start")
-			}
+			assertBarred(t, fc, late)
 		})
 	}
 }
 
+// Guards against the same when the start arrives as the first order of the next process but those that wait for it to listen: no
+// question at intervals is soon enough.
+func TestLateStartAsNextProcessBegins(t *testing.T) {
+	for _, down := range []anvilclock.Millis{50, 500, 3000, 9000} {
+		t.Run(fmt.Sprintf("%s after the crash", down), func(t *testing.T) {
+			fc, h, late := completedWithOpenStart(t)
+			fc.advance(1000, h)
+			assertEqual(t, "the end is acknowledged", fc.acknowledged[late.task], true)
+			fc.workers["w1"].crash()
+			fc.advance(down, h)
+			fc.workers["w1"].listen()
+			assertBarred(t, fc, late)
+		})
+	}
+}
+
+// Guards against an acknowledgement before the worker's orders carry a token that bars late starts of the run: the first order that the
+// next process gets would let them pass.
+func TestAckCarriesBarringToken(t *testing.T) {
+	fc, h, late := startedWithoutAnswer(t)
+	fw := fc.workers["w1"]
+	fc.endRun("j1.0.0.0", CauseDone, "")
+	for !fc.acknowledged[late.task] {
+		fc.advance(25, h)
+	}
+	assertEqual(t, "the worker has a raised token", fw.token > late.token, true)
+	assertEqual(t, "the leader goes on", h.loop.leading(), true)
+}
+
+// assertBarred checks that w1 refuses a start.
+func assertBarred(t *testing.T, fc *fakeCluster, late StartOrder) {
+	t.Helper()
+	if _, err := fc.Start(t.Context(), NewTarget("w1", "w1:1"), late); err == nil {
+		t.Error("the worker carries out the start")
+	}
+}
+
 // Guards against the same at a successor, which doesn't know whether the start of a run that it has adopted was answered.
 func TestOpenStartOfFormerLeader(t *testing.T) {
 	fc, h, late := startedWithoutAnswer(t)
@@ -67,9 +101,7 @@
 	assertEqual(t, "the end is acknowledged", fc.acknowledged[late.task], true)
 	fc.workers["w1"].restart()
 	fc.advance(300, next)
-	if _, err := fc.Start(context.Background(), NewTarget("w1", "w1:1"), late); err == nil {
-		t.Error("the next process carries out the start")
-	}
+	assertBarred(t, fc, late)
 }
 
 // Guards against holds of all idle workers because of attempts that are answered or over.
--- a/entry/anvilscheduler/fence.go
+++ b/entry/anvilscheduler/fence.go
@@ -4,14 +4,18 @@
 // answer, the leader raises the token for it: once its process has accepted the raised one, it refuses earlier orders that arrive late.
 
 // requireFence requires that the worker accepts a fencing token above those of all orders sent so far, before it gets starts.
-func (l *Loop) requireFence(w *worker) {
+func (l *Loop) requireFence(w *worker) { w.minFence = l.requestFence() }
+
+// requestFence requests that the next commit raises the fencing token above those of all orders sent so far, and returns the raised
+// one.
+func (l *Loop) requestFence() int64 {
 	ls := &l.leadership
 	newest := ls.fence
 	if b := l.commits.inflight; b != nil {
 		newest = max(newest, b.fence)
 	}
-	w.minFence = newest + 1
-	ls.requiredFence = w.minFence
+	ls.requiredFence = newest + 1
+	return ls.requiredFence
 }
 
 // nextFence returns the fencing token for the next leadership row.
@@ -25,6 +29,9 @@
 	}
 	ls.fence = fence
 	for _, w := range l.fleet.byID {
+		if w.fence < w.barringFence && w.barringFence <= fence {
+			w.fence = fence
+		}
 		if w.fence < w.minFence && w.minFence <= fence {
 			w.fence = fence
 			l.holdIfDue(w, l.clock.Now())
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -43,7 +43,10 @@
 	// fence is the fencing token of orders to the worker. minFence is the lowest that it has to accept before it gets starts; 0
 	// once it has.
 	fence, minFence int64
-	machine         anvilchart.Machine
+	// barringFence is the lowest token that bars the starts that may arrive although their runs aren't bound to the worker any more; 0
+	// when there is none. Ends of these runs are acknowledged by orders with that token.
+	barringFence int64
+	machine      anvilchart.Machine
 	// entryUnread means that no entry of this incarnation was read yet: its pool, labels and capacity are those of the former one.
 	entryUnread bool
 	// tasks holds the tasks that are bound to the worker, used is the sum of their reservations.
--- a/entry/anvilscheduler/harness_worker_test.go
+++ b/entry/anvilscheduler/harness_worker_test.go
@@ -38,6 +38,8 @@
 	loseAnswers bool
 	ignoreStops bool
 	startFault  Fault
+	// reconnecting holds what is sent again until the worker's address accepts connections.
+	reconnecting []reconnectingHold
 	// cutAfterStart makes the worker unreachable once it has carried out a start.
 	cutAfterStart bool
 }
@@ -100,6 +102,29 @@
 	fw.startedAt, fw.leaseExpiry = fw.cluster.clock.Now(), 0
 }
 
+// reconnectingHold is a hold that reaches the process that listens before the time until.
+type reconnectingHold struct {
+	token int64
+	until anvilclock.Millis
+}
+
+// crash ends the worker's process: nothing accepts connections until listen.
+func (fw *fakeWorker) crash() {
+	fw.restart()
+	fw.refusing = true
+}
+
+// listen starts the process after a crash. Its first orders are those that wait for connections.
+func (fw *fakeWorker) listen() {
+	fw.refusing, fw.startedAt = false, fw.cluster.clock.Now()
+	for _, h := range fw.reconnecting {
+		if fw.cluster.clock.Now() < h.until {
+			fw.token = max(fw.token, h.token)
+		}
+	}
+	fw.reconnecting = nil
+}
+
 // elsewhere is the address of a worker that none of the registry's ids names.
 const elsewhere = "elsewhere:1"
 
@@ -205,6 +230,9 @@
 	if fw := fc.workers[to.ID()]; fw != nil && fw.loseHolds {
 		return Report{}, NewOrderError(FaultNoReply, 0, context.DeadlineExceeded)
 	}
+	if fw := fc.workers[to.ID()]; fw != nil && fw.refusing && o.Reconnect() > 0 {
+		fw.reconnecting = append(fw.reconnecting, reconnectingHold{token: o.Token(), until: fc.clock.Now() + orderTimeout})
+	}
 	fw, err := fc.admitOrder(to, o.Token())
 	if err != nil {
 		return Report{}, err
--- a/entry/anvilscheduler/hedge.go
+++ b/entry/anvilscheduler/hedge.go
@@ -35,21 +35,25 @@
 	return orderTimeout - (now - a.firstSent)
 }
 
-// lateStart counts the attempts of a run's start without an answer, the newest of which was sent or timed out at a local time.
+// lateStart counts the attempts of a run's start without an answer, the newest of which was sent or timed out at a local time. fence
+// is the highest of their tokens; 0 if a former leader has sent them.
 type lateStart struct {
-	open int
-	at   anvilclock.Millis
+	open  int
+	at    anvilclock.Millis
+	fence int64
 }
 
 // recordAttempt records that an attempt of a start is being sent.
 func (w *worker) recordAttempt(key startKey, now anvilclock.Millis) {
 	maps.DeleteFunc(w.lateStarts, func(_ startKey, s lateStart) bool { return now-s.at >= lateOrderWindow })
-	w.lateStarts[key] = lateStart{open: w.lateStarts[key].open + 1, at: now}
+	w.lateStarts[key] = lateStart{open: w.lateStarts[key].open + 1, at: now, fence: w.fence}
 }
 
 // recordNoAnswer records that an attempt got no answer.
 func (w *worker) recordNoAnswer(key startKey, now anvilclock.Millis) {
-	w.lateStarts[key] = lateStart{open: max(w.lateStarts[key].open, 1), at: now}
+	s := w.lateStarts[key]
+	s.open, s.at = max(s.open, 1), now
+	w.lateStarts[key] = s
 }
 
 // recordAnswer records that an attempt was answered, so that it won't arrive any more.
--- a/entry/anvilscheduler/hold.go
+++ b/entry/anvilscheduler/hold.go
@@ -11,10 +11,14 @@
 // holdIfDue sends a hold to a worker when one is due: as a probe of a worker that does not answer, to acknowledge ends,
 // or to extend leases and wait for the next end.
 func (l *Loop) holdIfDue(w *worker, now anvilclock.Millis) {
-	if w.holdInFlight || w.registration.addr == "" || !l.mayOrder(now) || now-w.lastHold < minHoldInterval {
+	if w.holdInFlight || w.registration.addr == "" || !l.mayOrder(now) {
 		return
 	}
 	o, exposed := HoldOrder{token: w.fence}, w.exposed(now)
+	// The process may have ended with the first order that fails, and the next one may start at any time.
+	if now-w.lastHold < minHoldInterval && !(exposed && w.failures == 1) {
+		return
+	}
 	if w.acked > w.sentAck && len(w.unverified) == 0 {
 		o.acked = w.acked
 	}
@@ -25,11 +29,11 @@
 		if len(w.tasks) == 0 {
 			limit = maxIdleProbes
 		}
-		interval := probeInterval
 		if exposed {
-			interval = exposedHoldInterval
+			// The next process may get the order, which has no ends to acknowledge.
+			o.reconnect, o.acked = l.reconnectInterval(), 0
 		}
-		if (w.lastHold != 0 && now-w.lastHold < interval) || !l.claimProbe(w, limit) {
+		if (w.lastHold != 0 && now-w.lastHold < w.probeInterval(exposed)) || !l.claimProbe(w, limit) {
 			return
 		}
 	case w.minFence != 0 && w.fence >= w.minFence:
@@ -41,6 +45,8 @@
 		}
 	case w.acked > w.sentAck:
 		// The hold acknowledges ends. While tasks run, the same call waits for the next end.
+	case exposed && w.processed == w.acked:
+		// The hold fails as soon as the process ends.
 	case len(w.tasks) == 0:
 		// The reply shows the clock of a worker that may get a start.
 		if w.registration.draining || now-w.lastReply < w.idleReplyAge(now) || !l.claimProbe(w, maxIdleProbes) {
@@ -72,6 +78,8 @@
 		default:
 			o.wait = unextendedHoldWait
 		}
+	} else if exposed && w.machine.State() == workerReady && w.failures == 0 && w.processed == w.acked {
+		o.wait = exposedHoldInterval
 	}
 	l.sendHold(w, o, now)
 }
@@ -122,9 +130,13 @@
 	if o.until != 0 {
 		w.extendLease(now)
 	}
+	timeout := o.wait + orderTimeout
+	if o.reconnect != 0 && w.failures == 1 {
+		timeout = firstReconnectTimeout
+	}
 	ctx, workers, to, token := l.leadershipContext(), l.workers, w.target(), l.leadership.token
 	l.spawn(func() {
-		ctx, cancel := withTimeout(ctx, o.wait+orderTimeout)
+		ctx, cancel := withTimeout(ctx, timeout)
 		defer cancel()
 		report, err := workers.Hold(ctx, to, o)
 		l.post(holdAnswered{token: token, fence: o.token, worker: w, sent: now, acked: o.acked, report: report, err: err})
@@ -154,6 +166,9 @@
 			}
 		}
 		l.handleOrderError(w, m.fence, m.err, now)
+		if w.machine.State() != workerEnded && w.exposed(now) {
+			l.holdIfDue(w, now)
+		}
 		return
 	}
 	w.failures = 0
@@ -246,7 +261,7 @@
 	}
 	if last > w.processed {
 		w.processed = last
-		l.commits.acks = append(l.commits.acks, ack{worker: w, number: last, seq: l.commits.lastSeq})
+		l.commits.acks = append(l.commits.acks, ack{worker: w, number: last, seq: l.commits.lastSeq, fence: w.barringFence})
 		if len(l.commits.jobs) == 0 && l.commits.inflight == nil {
 			l.releaseAcks()
 		}
--- a/entry/anvilscheduler/interfaces.go
+++ b/entry/anvilscheduler/interfaces.go
@@ -205,6 +205,8 @@
 	until anvilclock.Millis
 	acked int64
 	wait  anvilclock.Millis
+
+	reconnect anvilclock.Millis
 }
 
 // Token returns the leader's fencing token. A worker refuses orders with a lower token than the highest it has seen.
@@ -219,6 +221,10 @@
 // Wait returns how long the worker may wait for the end of a run before it answers.
 func (o HoldOrder) Wait() anvilclock.Millis { return o.wait }
 
+// Reconnect returns the pause after which the order is sent again, until it is given up, while nothing accepts connections at the
+// worker's address. It is 0 for an order that fails then.
+func (o HoldOrder) Reconnect() anvilclock.Millis { return o.reconnect }
+
 // PaceOrder limits the speed of a run to a share of its full speed.
 type PaceOrder struct {
 	task    anviljob.TaskID
--- a/entry/anvilscheduler/task.go
+++ b/entry/anvilscheduler/task.go
@@ -134,6 +134,7 @@
 // unbind undoes bind. If the task waits for another run, its stage becomes ready, and the rest of its gang is stopped.
 func (l *Loop) unbind(t *task) {
 	s, j := t.stage, t.stage.job
+	l.barLateStart(t)
 	l.deallocate(t)
 	j.bound--
 	l.workload.usage[j.sub.Team()] = l.workload.usage[j.sub.Team()].Sub(s.step.Size())
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -124,9 +124,17 @@
 	// lateOrderWindow is how long after its time-out an order may still be carried out. On the users' platform orders are
 	// carried out up to 12 s late.
 	lateOrderWindow = anvilclock.Millis(12_000)
-	// exposedHoldInterval replaces maxHoldWait, clockRefreshAge and probeInterval for a worker at which the start of a run that has
-	// ended may still arrive: its next process has to refuse that start soon after it has begun.
+	// exposedHoldInterval replaces maxHoldWait and clockRefreshAge for a worker at which the start of a run that has ended may still
+	// arrive: its next process has to refuse that start soon after it has begun.
 	exposedHoldInterval = anvilclock.Millis(200)
+	// exposedProbeInterval replaces probeInterval for such a worker, and reconnectInterval is the pause between two attempts to connect
+	// to it while nothing listens there.
+	exposedProbeInterval = anvilclock.Millis(50)
+	reconnectInterval    = anvilclock.Millis(5)
+	// firstReconnectTimeout replaces orderTimeout for the first hold that waits for the next process: it may be carried out late itself.
+	firstReconnectTimeout = anvilclock.Millis(250)
+	// reconnectsPerInterval is the number of probes in flight with which reconnectInterval is doubled.
+	reconnectsPerInterval = 8
 	// orderTimeout bounds a start, a stop, and a hold beyond its wait.
 	orderTimeout = anvilclock.Millis(700)
 	// secondStartDelay is how long a start may stay unanswered before it is sent a second time.
