anvilscheduler: keep an exposed worker whose entry was removed

A worker without tasks that doesn't answer and has lost its entry is given up after 2.5 s, and nothing asks its address any more. Its next process then carries out a late start.

Change: it is kept while such a start may arrive, at most 12 s, so that the hold goes on waiting for the next process. It gets no starts, as before.

Test: TestExposedWorkerIsAskedWithoutEntry failed before.

--- a/entry/anvilscheduler/exposure_test.go
+++ b/entry/anvilscheduler/exposure_test.go
@@ -63,6 +63,18 @@
 	assertEqual(t, "the leader goes on", h.loop.leading(), true)
 }
 
+// Guards against an exposed worker that is no longer asked because its entry was removed and it doesn't answer.
+func TestExposedWorkerIsAskedWithoutEntry(t *testing.T) {
+	fc, h, late := completedWithOpenStart(t)
+	fc.workers["w1"].crash()
+	reg := fc.registry
+	fc.registry = fc.registry[1:]
+	fc.advance(deregistrationGrace+2000, h)
+	fc.registry = reg
+	fc.workers["w1"].listen()
+	assertBarred(t, fc, late)
+}
+
 // assertBarred checks that w1 refuses a start.
 func assertBarred(t *testing.T, fc *fakeCluster, late StartOrder) {
 	t.Helper()
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -409,7 +409,7 @@
 			l.fireWorker(w, "lapse")
 		}
 		if w.deregisteredAt != 0 && len(w.tasks) == 0 && now-w.deregisteredAt > deregistrationGrace &&
-			w.machine.State() != workerReady {
+			w.machine.State() != workerReady && !w.exposed(now) {
 			l.retire(w, "unlisted")
 			continue
 		}
