anvilscheduler, anvilstorage: tell a successor where late starts may arrive

The task runs a second time.

Cause: which starts are open is in the leader's memory. A successor counts the runs that are still bound or whose ends are still listed; a run whose end was acknowledged is neither, so it asked the worker every 25 s.

Change: the leadership row names the exposed workers, from the commit that stores the end on. Its token bars the starts of former leaders.

Tests: TestOpenStartOfFormerLeader/that_has_acknowledged_the_end, also two leaders ago, and TestFormerExposureEnds fail without the list, and without the part of the claim.

--- a/entry/anvilscheduler/commits.go
+++ b/entry/anvilscheduler/commits.go
@@ -114,7 +114,8 @@
 		done: make(chan struct{})}
 	b.tx.Expect(anvilstorage.Leaderships, anvilstorage.LeadershipKey, ls.rowVersion)
 	b.fence = l.nextFence()
-	m := anvilstorage.NewLeadership(l.self.Name(), l.self.Addr(), b.fence, b.renewals).WithFirst(ls.token).WithBacklog(l.state.backlog.Encode(now))
+	m := anvilstorage.NewLeadership(l.self.Name(), l.self.Addr(), b.fence, b.renewals).WithFirst(ls.token).WithBacklog(l.state.backlog.Encode(now)).
+		WithExposed(l.exposedWorkers(now))
 	clock, e := l.storeTime, ls.extension
 	// The witnesses that have confirmed extensions may not be those that the commit stores.
 	b.extendsUntil = max(now+extensionValidity, e.confirmedUntil)
--- a/entry/anvilscheduler/exposure_test.go
+++ b/entry/anvilscheduler/exposure_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anviljob"
 )
@@ -100,6 +101,49 @@
 		assertEqual(t, "the end is acknowledged", fc.acknowledged[late.task], false)
 		assertBarredAfterTakeover(t, fc, late, func() {})
 	})
+	t.Run("that has acknowledged the end", func(t *testing.T) {
+		fc, h, late := completedWithOpenStart(t)
+		assertEqual(t, "the end is acknowledged", fc.acknowledged[late.task], true)
+		h.paused = true
+		assertBarredAfterTakeover(t, fc, late, func() {})
+	})
+	t.Run("that has acknowledged the end, two leaders ago", func(t *testing.T) {
+		fc, h, late := completedWithOpenStart(t)
+		h.paused = true
+		next := fc.newHarness("e2")
+		fc.advance(takeoverTime, next)
+		assertEqual(t, "the second instance is leader", next.loop.leading(), true)
+		next.paused = true
+		last := fc.newHarness("e3")
+		fc.advance(takeoverTime, last)
+		assertEqual(t, "the third instance is leader", last.loop.leading(), true)
+		fc.workers["w1"].crash()
+		fc.advance(500, last)
+		fc.workers["w1"].listen()
+		assertBarred(t, fc, late)
+	})
+}
+
+// Guards against a successor that asks exposed workers for ever, and against a row that grows with each of them.
+func TestFormerExposureEnds(t *testing.T) {
+	fc, h, _ := completedWithOpenStart(t)
+	h.paused = true
+	next := fc.newHarness("e2")
+	fc.advance(takeoverTime, next)
+	assertExposed(t, fc, "w1")
+	fc.advance(lateOrderWindow, next)
+	assertExposed(t, fc)
+	assertEqual(t, "exposed", next.loop.fleet.byID["w1"].exposed(fc.clock.Now()), false)
+}
+
+// assertExposed checks which workers the leadership row names as exposed.
+func assertExposed(t *testing.T, fc *fakeCluster, want ...string) {
+	t.Helper()
+	row, err := anvilstorage.ParseLeadership(fc.store.get(anvilstorage.Leaderships, anvilstorage.LeadershipKey))
+	if err != nil {
+		t.Fatal(err)
+	}
+	assertEqual(t, "exposed workers", row.Exposed(), want)
 }
 
 // assertBarredAfterTakeover checks that a late start of a run that has ended is refused by the next process of w1 after a takeover.
--- a/entry/anvilscheduler/extension.go
+++ b/entry/anvilscheduler/extension.go
@@ -49,7 +49,8 @@
 // leadershipRow returns a leadership row that allows extensions until a local time.
 func (l *Loop) leadershipRow(leader, addr string, count int64, until anvilclock.Millis) (anvilstorage.Row, error) {
 	ls := &l.leadership
-	return extensionRow(anvilstorage.NewLeadership(leader, addr, ls.fence, count).WithFirst(ls.token), l.storeTime, until, ls.extension)
+	m := anvilstorage.NewLeadership(leader, addr, ls.fence, count).WithFirst(ls.token).WithExposed(l.exposedWorkers(l.clock.Now()))
+	return extensionRow(m, l.storeTime, until, ls.extension)
 }
 
 func extensionRow(m anvilstorage.Leadership, c storeClock, until anvilclock.Millis, e extension) (anvilstorage.Row, error) {
--- a/entry/anvilscheduler/leadership.go
+++ b/entry/anvilscheduler/leadership.go
@@ -46,6 +46,9 @@
 	// lastRenewed is when the last applied commit was sent.
 	lastRenewed anvilclock.Millis
 	extension   extension
+	// formerExposed holds the workers at which a start of a former leader may arrive although its run has ended, by the row that the
+	// claim has replaced.
+	formerExposed map[string]bool
 	// leadingSince is when this instance became leader.
 	leadingSince anvilclock.Millis
 	// ctx is done once this leadership has ended; the leader's calls use it.
@@ -182,7 +185,7 @@
 // meanwhile.
 func (l *Loop) claimLeadership() {
 	ls := &l.leadership
-	next := anvilstorage.NewLeadership(l.self.Name(), l.self.Addr(), ls.current.Token()+1, 0)
+	next := anvilstorage.NewLeadership(l.self.Name(), l.self.Addr(), ls.current.Token()+1, 0).WithExposed(ls.current.Exposed())
 	c := claim{
 		former: ls.current, vacant: ls.rowVersion == 0, next: next, addr: l.self.Addr(), clock: l.storeTime,
 		deferred: ls.deferredVersion == ls.rowVersion,
@@ -247,6 +250,10 @@
 	ls.token, ls.current, ls.rowVersion, ls.lastRenewed = m.leadership.Token(), m.leadership, m.rowVersion, m.since
 	ls.fence, ls.requiredFence = ls.token, ls.token
 	ls.claimedAt, ls.extension = m.since, m.extension
+	ls.formerExposed = map[string]bool{}
+	for _, id := range m.leadership.Exposed() {
+		ls.formerExposed[id] = true
+	}
 	l.storeTime.observe(m.since, l.clock.Now(), m.now)
 	l.fireLeadership("granted")
 }
--- a/entry/anvilstorage/leadership.go
+++ b/entry/anvilstorage/leadership.go
@@ -23,6 +23,7 @@
 	boundedSince int64
 	first        int64
 	backlog      string
+	exposed      []string
 }
 
 // NewLeadership returns a leadership; an empty leader means that the last leader has released it.
@@ -62,6 +63,16 @@
 	return l
 }
 
+// WithExposed returns a copy with the ids of the workers at which a start may arrive although its run has ended. The slice is kept.
+func (l Leadership) WithExposed(workers []string) Leadership {
+	l.exposed = workers
+	return l
+}
+
+// Exposed returns the ids of the workers at which a start of this leader or of an earlier one may arrive although its run has ended.
+// The caller must not change the slice.
+func (l Leadership) Exposed() []string { return l.exposed }
+
 // Backlog returns the shortages of capacity that the leader has found; empty when there are none.
 func (l Leadership) Backlog() string { return l.backlog }
 
@@ -90,13 +101,15 @@
 	Since  int64  `json:"since,omitempty"`
 	First  int64  `json:"first,omitempty"`
 	Busy   string `json:"busy,omitempty"`
+
+	Exposed []string `json:"exposed,omitempty"`
 }
 
 // LeadershipRow returns the row that stores a leadership.
 func LeadershipRow(l Leadership) (Row, error) {
 	value, err := json.Marshal(leadershipRow{
 		Leader: l.leader, Addr: l.addr, Token: l.token, Count: l.count, Until: int64(l.extendsUntil), Since: l.boundedSince, First: l.first,
-		Busy: l.backlog,
+		Busy: l.backlog, Exposed: l.exposed,
 	})
 	if err != nil {
 		return Row{}, fmt.Errorf("leadership: %w", err)
@@ -111,7 +124,7 @@
 		return Leadership{}, fmt.Errorf("leadership: %w", err)
 	}
 	out := NewLeadership(in.Leader, in.Addr, in.Token, in.Count)
-	return out.WithExtension(anvilclock.Millis(in.Until), in.Since).WithFirst(in.First).WithBacklog(in.Busy), nil
+	return out.WithExtension(anvilclock.Millis(in.Until), in.Since).WithFirst(in.First).WithBacklog(in.Busy).WithExposed(in.Exposed), nil
 }
 
 // Instance is an entry instance as it registers in the store for the others.
