anvilscheduler: simulate connections that are reset or refused when a worker's process ends

Cause: the simulation lost what waited at a process that ended, so a hold that fails with its connection, or waits for the next process, was never played.

Change: half of the processes end without a trace as before, the others fail their waiting holds. A hold that asks for it is sent again while no process runs at the address.

--- a/entry/anvilscheduler/simulation_loop_test.go
+++ b/entry/anvilscheduler/simulation_loop_test.go
@@ -14,8 +14,9 @@
 )
 
 // transmit carries an order to the process at an address: exec is called when it arrives, and answered once with the
-// result, or with FaultNoReply after the timeout. It may be executed long after that.
-func (l *simLoop) transmit(to Target, incarnation int64, key string, timeout anvilclock.Millis, exec func(p *simProcess, how string, reply func(any, error)), answered func(any, error)) {
+// result, or with FaultNoReply after the timeout. It may be executed long after that. With reconnect, it is sent again at that interval
+// while no process runs there.
+func (l *simLoop) transmit(to Target, incarnation int64, key string, timeout, reconnect anvilclock.Millis, exec func(p *simProcess, how string, reply func(any, error)), answered func(any, error)) {
 	s := l.sim
 	settled := false
 	settle := func(v any, err error) {
@@ -51,13 +52,18 @@
 	case l.stalled(key):
 		travel += l.stallUntil - sent
 	}
-	s.after(travel, key, func() {
+	var arrive func()
+	arrive = func() {
 		var p *simProcess
 		for _, other := range s.workers {
 			if other.process != nil && other.process.addr == to.Addr() {
 				p = other.process
 			}
 		}
+		if p == nil && reconnect > 0 && s.now()+reconnect < sent+timeout {
+			s.after(reconnect, key, arrive)
+			return
+		}
 		if p == nil {
 			s.after(2, key, func() { settle(nil, NewOrderError(FaultRefused, 0, errDown)) })
 			return
@@ -81,7 +87,8 @@
 			}
 			s.after(s.delay(1, 12, key, "answer"), key, func() { settle(v, err) })
 		})
-	})
+	}
+	s.after(travel, key, arrive)
 }
 
 // Loops.
@@ -260,7 +267,7 @@
 		l.playStart(m, l.to, l.start)
 	case stopAnswered:
 		o := l.stop
-		l.transmit(l.to, m.worker.registration.incarnation, fmt.Sprint(l.name, "stop", l.to, o.Task()), orderTimeout, func(p *simProcess, _ string, reply func(any, error)) {
+		l.transmit(l.to, m.worker.registration.incarnation, fmt.Sprint(l.name, "stop", l.to, o.Task()), orderTimeout, 0, func(p *simProcess, _ string, reply func(any, error)) {
 			err := p.stop(o)
 			reply(p.clock(), err)
 		}, func(v any, err error) {
@@ -270,7 +277,7 @@
 		})
 	case holdAnswered:
 		o, incarnation := l.hold, m.worker.registration.incarnation
-		l.transmit(l.to, m.worker.registration.incarnation, fmt.Sprint(l.name, "hold", l.to), o.Wait()+orderTimeout, func(p *simProcess, _ string, reply func(any, error)) {
+		l.transmit(l.to, m.worker.registration.incarnation, fmt.Sprint(l.name, "hold", l.to), o.Wait()+orderTimeout, o.Reconnect(), func(p *simProcess, _ string, reply func(any, error)) {
 			if p.ignores("other acknowledgement", incarnation) {
 				o.acked = 0
 			}
@@ -291,6 +298,7 @@
 				return
 			}
 			p.waiting = append(p.waiting, answer)
+			p.resets = append(p.resets, func() { reply(nil, NewOrderError(FaultNoReply, 0, errDown)) })
 			s.after(o.Wait(), p.worker.id, answer)
 		}, func(v any, err error) {
 			m.report, _ = v.(Report)
@@ -324,7 +332,7 @@
 func (l *simLoop) playStart(m startAnswered, to Target, o StartOrder) {
 	key := fmt.Sprint(l.name, "start", to, o.Task(), o.Run(), "/", m.round, m.sent)
 	meant, limit := m.worker.registration.incarnation, l.loop.state.policy
-	l.transmit(to, meant, key, m.timeout, func(p *simProcess, how string, reply func(any, error)) {
+	l.transmit(to, meant, key, m.timeout, 0, func(p *simProcess, how string, reply func(any, error)) {
 		err := p.start(o, how)
 		l.sim.checkChoice(p, o, limit, how == "in time" && meant == p.incarnation)
 		reply(p.clock(), err)
--- a/entry/anvilscheduler/simulation_worker_test.go
+++ b/entry/anvilscheduler/simulation_worker_test.go
@@ -60,6 +60,8 @@
 	ends        []RunEnd
 	lastEnd     int64
 	waiting     []func()
+	// resets fail the holds that wait, as a reset of their connections does.
+	resets []func()
 	// successes are the successful ends that were not acknowledged.
 	successes []*simDone
 	leavesAt  anvilclock.Millis
@@ -89,13 +91,19 @@
 	s.record("boot %s at %s", w.process, addr)
 }
 
-// kill ends the process with all runs, without a trace.
+// kill ends the process with all runs.
 func (w *simWorker) kill(why string) {
 	if w.process == nil {
 		return
 	}
 	w.sim.record("kill %s: %s", w.process, why)
 	w.process.alive = false
+	// Half of the processes end without a trace, the others' connections are reset.
+	if w.sim.roll(2, w.id, "reset") == 0 {
+		for _, f := range w.process.resets {
+			w.sim.after(2, w.id, f)
+		}
+	}
 	for key, r := range w.process.runs {
 		w.sim.breakGang(key, r)
 	}
@@ -203,7 +211,7 @@
 	for _, f := range p.waiting {
 		s.after(2, p.worker.id, f)
 	}
-	p.waiting = nil
+	p.waiting, p.resets = nil, nil
 }
 
 // gangOf calls f for the members of a gang's run that are present.
