anvilscheduler: acknowledge ends of runs whose start may still arrive later

Cause: an end that was acknowledged forbids another run for good, and a process that has just begun knows nothing by which it could refuse one.

Change: an end isn't acknowledged while a start of its run that this leader has sent may arrive, up to 12 s. It goes with its process if that ends meanwhile, and another run is permitted then. The end of a gang's task represents all, so it waits for the starts of all. As ends are acknowledged in order, later ones of the worker wait, too, and the worker is asked for new ends every 200 ms.

Ruled out: holding all of them back.

--- /dev/null
+++ b/entry/anvilscheduler/acks.go
@@ -0,0 +1,122 @@
+package anvilscheduler
+
+import (
+	"slices"
+
+	"anvilhold.org/lib/anvilclock"
+)
+
+// The end of a run whose start may still arrive isn't acknowledged until it is too late for the start: an end that goes with its
+// process permits another run. As a worker's ends are acknowledged in order, the later ones wait, too. The platform wants most ends
+// acknowledged within seconds, so only a share of all ends waits; the others are acknowledged with the raised token.
+
+// ack acknowledges the ends of runs at a worker up to a number, once the changes up to seq are stored and the worker's orders carry
+// the fencing token fence.
+type ack struct {
+	worker *worker
+	number int64
+	seq    int64
+	fence  int64
+	// ends is the number of ends, starts are those of their runs that have no answer.
+	ends   int
+	starts []openStart
+}
+
+// openStart is a start at a worker of which an attempt has no answer.
+type openStart struct {
+	worker *worker
+	key    startKey
+}
+
+// open reports whether one of the starts may still arrive.
+func (a *ack) open(now anvilclock.Millis) bool {
+	return slices.ContainsFunc(a.starts, func(s openStart) bool { return s.worker.startOpen(s.key, now) })
+}
+
+// openStarts returns the starts without an answer because of which the acknowledgement of an end at the worker has to wait.
+func (l *Loop) openStarts(w *worker, e RunEnd, now anvilclock.Millis) []openStart {
+	t := l.findTask(e.task)
+	if t == nil {
+		return nil
+	}
+	if t.stage.step.Gang() {
+		l.representGang(t.stage, e.run, now)
+		return nil
+	}
+	if key := (startKey{t, e.run}); w.sentOpen(key, now) {
+		return []openStart{{w, key}}
+	}
+	return nil
+}
+
+// representGang records the open starts of a gang's run at the workers of all its tasks: the end of one represents all of them.
+func (l *Loop) representGang(s *stage, run int, now anvilclock.Millis) {
+	var starts []openStart
+	for _, t := range s.tasks {
+		if key := (startKey{t, run}); t.worker != nil && t.worker.sentOpen(key, now) {
+			starts = append(starts, openStart{t.worker, key})
+		}
+	}
+	for _, t := range s.tasks {
+		if t.worker != nil && t.run == run {
+			t.worker.gangStarts = append(t.worker.gangStarts, starts...)
+		}
+	}
+}
+
+// sentOpen reports whether this leader has sent an attempt of a start that has no answer and may still arrive.
+func (w *worker) sentOpen(key startKey, now anvilclock.Millis) bool {
+	return w.lateStarts[key].fence != 0 && w.startOpen(key, now)
+}
+
+// endCounter counts the ends of runs in the present period and the one before.
+type endCounter struct {
+	since         anvilclock.Millis
+	present, last int
+}
+
+func (c *endCounter) add(n int, now anvilclock.Millis) {
+	if now-c.since >= endPeriod {
+		c.since, c.present, c.last = now, 0, c.present
+	}
+	c.present += n
+}
+
+// allowance returns how many ends may wait.
+func (c *endCounter) allowance() int { return (c.present + c.last) / heldEndsDivisor }
+
+// releaseAcks acknowledges the run ends that are stored and needn't wait. The next hold carries the acknowledgement to the worker.
+func (l *Loop) releaseAcks() {
+	q, now := &l.commits, l.clock.Now()
+	l.holdAcks(q.acks, now)
+	kept := q.acks[:0]
+	for _, a := range q.acks {
+		if a.seq > q.storedSeq || a.worker.fence < a.fence || a.worker.acksHeld {
+			kept = append(kept, a)
+			continue
+		}
+		a.worker.acked = max(a.worker.acked, a.number)
+	}
+	q.acks = kept
+}
+
+// holdAcks decides at which workers acknowledgements wait because starts may still arrive. Those that have waited longest go first.
+func (l *Loop) holdAcks(acks []ack, now anvilclock.Millis) {
+	ends, open := map[*worker]int{}, map[*worker]bool{}
+	for _, a := range acks {
+		ends[a.worker] += a.ends
+		open[a.worker] = open[a.worker] || a.open(now)
+	}
+	allowance := l.fleet.ends.allowance()
+	for _, a := range acks {
+		w := a.worker
+		n, first := ends[w]
+		if !first {
+			continue
+		}
+		delete(ends, w)
+		if w.acksHeld = open[w] && n <= allowance; w.acksHeld {
+			allowance -= n
+		}
+	}
+}
--- a/entry/anvilscheduler/commits.go
+++ b/entry/anvilscheduler/commits.go
@@ -27,15 +27,6 @@
 	acks []ack
 }
 
-// ack acknowledges the ends of runs at a worker up to a number, once the changes up to seq are stored and the worker's orders carry
-// the fencing token fence.
-type ack struct {
-	worker *worker
-	number int64
-	seq    int64
-	fence  int64
-}
-
 // binding is a run whose choice of a worker is in a commit; its start is sent after the commit.
 type binding struct {
 	task *task
@@ -263,19 +254,5 @@
 	}
 }
 
-// releaseAcks acknowledges the run ends that are stored, and whose late starts the worker's token bars. The next hold carries the acknowledgement to the worker.
-func (l *Loop) releaseAcks() {
-	q := &l.commits
-	kept := q.acks[:0]
-	for _, a := range q.acks {
-		if a.seq > q.storedSeq || a.worker.fence < a.fence {
-			kept = append(kept, a)
-			continue
-		}
-		a.worker.acked = max(a.worker.acked, a.number)
-	}
-	q.acks = kept
-}
-
 // storeNow converts a time of the loop's clock to the store's clock.
 func (l *Loop) storeNow(now anvilclock.Millis) anvilclock.Millis { return now + l.workload.storeOffset }
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -23,6 +23,7 @@
 	// next one.
 	former map[string]formerWorker
 	bounds leaseBounds
+	ends   endCounter
 	// losing holds the pools in which long-running tasks are bound to workers that don't answer.
 	losing map[string]bool
 	// lastReview is when bounds and losses were last looked for.
@@ -72,6 +73,10 @@
 	acked     int64
 	processed int64
 	sentAck   int64
+	// acksHeld means that ends wait to be acknowledged until starts of their runs can't arrive any more.
+	acksHeld bool
+	// gangStarts are the open starts of gangs that have ended, one of whose tasks ran here.
+	gangStarts []openStart
 	// unverified holds when the starts were sent for which no answer or report has shown yet that this incarnation got them.
 	// A next one may have: it numbers its ends anew, and would forget them with an acknowledgement that is meant for this one.
 	unverified map[startKey]anvilclock.Millis
--- a/entry/anvilscheduler/hold.go
+++ b/entry/anvilscheduler/hold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"anvilhold.org/lib/anvilclock"
 	"anvilhold.org/lib/anvilevent"
@@ -53,8 +54,13 @@
 			return
 		}
 	case w.processed > w.acked:
-		// Ends are being stored. A hold would only report them again, so one is sent only to extend leases.
-		if now-w.lastExtended < leaseRefreshAge || !mayExtend {
+		// Ends are being stored, or wait to be acknowledged. A hold would only report them again, so one is sent only to extend leases,
+		// or for new ends.
+		if w.acksHeld {
+			if now-w.lastHold < heldAckInterval {
+				return
+			}
+		} else if now-w.lastExtended < leaseRefreshAge || !mayExtend {
 			return
 		}
 	case w.leasesBounded():
@@ -250,18 +256,25 @@
 
 // processRunEnds processes the ends that are new. They are acknowledged to the worker once they are stored.
 func (l *Loop) processRunEnds(w *worker, runEnds []RunEnd) {
-	last := w.processed
+	last, now := w.processed, l.clock.Now()
+	a := ack{worker: w}
+	w.gangStarts = slices.DeleteFunc(w.gangStarts, func(s openStart) bool { return !s.worker.startOpen(s.key, now) })
 	for _, e := range runEnds {
 		if e.number <= w.processed {
 			continue
 		}
 		last = max(last, e.number)
+		a.ends++
+		a.starts = append(a.starts, l.openStarts(w, e, now)...)
 		l.recordFormerStart(w, e)
 		l.processRunEnd(w, e)
 	}
 	if last > w.processed {
 		w.processed = last
-		l.commits.acks = append(l.commits.acks, ack{worker: w, number: last, seq: l.commits.lastSeq, fence: w.barringFence})
+		a.starts = append(a.starts, w.gangStarts...)
+		a.number, a.seq, a.fence = last, l.commits.lastSeq, w.barringFence
+		l.commits.acks = append(l.commits.acks, a)
+		l.fleet.ends.add(a.ends, now)
 		if len(l.commits.jobs) == 0 && l.commits.inflight == nil {
 			l.releaseAcks()
 		}
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -135,6 +135,12 @@
 	firstReconnectTimeout = anvilclock.Millis(250)
 	// reconnectsPerInterval is the number of probes in flight with which reconnectInterval is doubled.
 	reconnectsPerInterval = 8
+	// One in heldEndsDivisor ends of the last one or two times endPeriod may wait to be acknowledged. The platform accepts that one
+	// in five isn't acknowledged in time.
+	heldEndsDivisor = 10
+	endPeriod       = anvilclock.Millis(30_000)
+	// heldAckInterval is the least time between two holds of a worker whose ends wait.
+	heldAckInterval = anvilclock.Millis(200)
 	// orderTimeout bounds a start, a stop, and a hold beyond its wait.
 	orderTimeout = anvilclock.Millis(700)
 	// secondStartDelay is how long a start may stay unanswered before it is sent a second time.
