platform: send a waiting hold again when its connection fails

Cause: the hold that follows the failed one can take an idle connection of the former process. It fails as well, and the second failure in a row waits for 50 ms.

Change: a hold that waits for the next process is sent again on any failure of the connection. It acknowledges nothing, so it may arrive several times.

Test: TestPostUntilReply/a_server_that_ends_beside_a_request failed before.

--- a/entry/anvilscheduler/interfaces.go
+++ b/entry/anvilscheduler/interfaces.go
@@ -222,7 +222,7 @@
 func (o HoldOrder) Wait() anvilclock.Millis { return o.wait }
 
 // Reconnect returns the pause after which the order is sent again, until it is given up, while nothing accepts connections at the
-// worker's address. It is 0 for an order that fails then.
+// worker's address or the connection fails. It is 0 for an order that fails then.
 func (o HoldOrder) Reconnect() anvilclock.Millis { return o.reconnect }
 
 // PaceOrder limits the speed of a run to a share of its full speed.
