anvilscheduler: bound the ends of one worker that wait to be acknowledged

Cause: a worker lists 500 ends at most, so new ones would be hidden behind ends that wait. Change: at most 250 ends of a worker wait. TestFewAcksWait/more_than_a_worker_may_keep fails without the bound.

--- a/entry/anvilscheduler/acks.go
+++ b/entry/anvilscheduler/acks.go
@@ -115,7 +115,7 @@
 			continue
 		}
 		delete(ends, w)
-		if w.acksHeld = open[w] && n <= allowance; w.acksHeld {
+		if w.acksHeld = open[w] && n <= min(allowance, maxHeldEnds); w.acksHeld {
 			allowance -= n
 		}
 	}
--- a/entry/anvilscheduler/acks_test.go
+++ b/entry/anvilscheduler/acks_test.go
@@ -68,6 +68,17 @@
 			assertAcked(t, fc, late, true)
 		})
 	}
+	t.Run("more than a worker may keep", func(t *testing.T) {
+		fc, h, _ := startedWithoutAnswer(t)
+		l, w := h.loop, h.loop.fleet.byID["w1"]
+		l.fleet.ends.add(10*maxHeldEnds*heldEndsDivisor, fc.clock.Now())
+		open := openStart{w, startKey{l.findTask(anviljob.NewTaskID("j1", 0, 0, 0)), 1}}
+		a := ack{worker: w, ends: maxHeldEnds, starts: []openStart{open}}
+		l.holdAcks([]ack{a}, fc.clock.Now())
+		assertEqual(t, "as many ends wait", w.acksHeld, true)
+		l.holdAcks([]ack{a, {worker: w, ends: 1}}, fc.clock.Now())
+		assertEqual(t, "more ends wait", w.acksHeld, false)
+	})
 	t.Run("ends of long ago", func(t *testing.T) {
 		var c endCounter
 		c.add(100, endPeriod)
--- a/entry/anvilscheduler/hold.go
+++ b/entry/anvilscheduler/hold.go
@@ -17,7 +17,7 @@
 	}
 	o, exposed := HoldOrder{token: w.fence}, w.exposed(now)
 	// The process may have ended with the first order that fails, and the next one may start at any time.
-	if now-w.lastHold < minHoldInterval && !(exposed && w.failures == 1) {
+	if now-w.lastHold < minHoldInterval && (!exposed || w.failures != 1) {
 		return
 	}
 	if w.acked > w.sentAck && len(w.unverified) == 0 {
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -139,6 +139,8 @@
 	// in five isn't acknowledged in time.
 	heldEndsDivisor = 10
 	endPeriod       = anvilclock.Millis(30_000)
+	// maxHeldEnds bounds the ends of one worker that wait: it lists only so many.
+	maxHeldEnds = 250
 	// heldAckInterval is the least time between two holds of a worker whose ends wait.
 	heldAckInterval = anvilclock.Millis(200)
 	// orderTimeout bounds a start, a stop, and a hold beyond its wait.
