anvilscheduler: pace the holds of an exposed worker that refuses orders

Cause: found by review. A worker that answers each order as unavailable isn't counted as failing, so the hold that waits at an exposed worker was sent again every 50 ms, and after a failed order at each tick, for up to 12 s.

Change: a hold is sent without a pause only once after the first order that fails, and a worker that refuses orders as unavailable gets none until its pause is over. The counter ack.held shows how often acknowledgements begin to wait.

--- a/entry/anvilscheduler/acks.go
+++ b/entry/anvilscheduler/acks.go
@@ -17,7 +17,7 @@
 	number int64
 	seq    int64
 	fence  int64
-	// ends is the number of ends, starts are those of their runs that have no answer.
+	// ends is the number of the ends, and starts are the open starts because of which they wait.
 	ends   int
 	starts []openStart
 }
@@ -115,8 +115,13 @@
 			continue
 		}
 		delete(ends, w)
-		if w.acksHeld = open[w] && n <= min(allowance, maxHeldEnds); w.acksHeld {
+		held := open[w] && n <= min(allowance, maxHeldEnds)
+		if held {
 			allowance -= n
 		}
+		if held && !w.acksHeld {
+			l.meter.Count("ack.held")
+		}
+		w.acksHeld = held
 	}
 }
--- a/entry/anvilscheduler/exposure.go
+++ b/entry/anvilscheduler/exposure.go
@@ -46,7 +46,7 @@
 		}
 	}
 	for id, f := range l.fleet.former {
-		if l.fleet.byID[id] == nil && (f.worker.exposed(now) || f.worker.anyStartOpen(now)) {
+		if l.fleet.byID[id] == nil && f.worker.anyStartOpen(now) {
 			out = append(out, id)
 		}
 	}
@@ -99,18 +99,6 @@
 	return false
 }
 
-// probeInterval returns the pause between two holds of a worker that doesn't answer.
-func (w *worker) probeInterval(exposed bool) anvilclock.Millis {
-	switch {
-	case exposed && w.failures == 1:
-		return 0
-	case exposed:
-		return exposedProbeInterval
-	default:
-		return probeInterval
-	}
-}
-
 // reconnectInterval returns the pause between two attempts to connect to a worker. It grows with the number of workers that don't
 // answer, so that the attempts take a bounded share of the processor.
 func (l *Loop) reconnectInterval() anvilclock.Millis {
--- a/entry/anvilscheduler/exposure_test.go
+++ b/entry/anvilscheduler/exposure_test.go
@@ -76,6 +76,26 @@
 	assertBarred(t, fc, late)
 }
 
+// Guards against a worker that is asked without a pause because it refuses all orders at once.
+func TestExposedWorkerThatRefusesOrders(t *testing.T) {
+	fc, h, _ := completedWithOpenStart(t)
+	fw := fc.workers["w1"]
+	assertPaced := func(t *testing.T) {
+		t.Helper()
+		before := fw.holds
+		fc.advance(2000, h)
+		if n := fw.holds - before; n > 2000/int(exposedHoldInterval)+2 {
+			t.Errorf("%d holds in 2 s", n)
+		}
+	}
+	fw.unwell = true
+	t.Run("before an order fails", assertPaced)
+	fw.unwell, fw.refusing = false, true
+	fc.advance(exposedHoldInterval, h)
+	fw.unwell, fw.refusing = true, false
+	t.Run("after orders have failed", assertPaced)
+}
+
 // assertBarred checks that w1 refuses a start.
 func assertBarred(t *testing.T, fc *fakeCluster, late StartOrder) {
 	t.Helper()
--- a/entry/anvilscheduler/fence.go
+++ b/entry/anvilscheduler/fence.go
@@ -1,7 +1,8 @@
 package anvilscheduler
 
-// Orders carry the fencing token of the leadership row. When a worker restarts under its id, or an acknowledgement to it gets no
-// answer, the leader raises the token for it: once its process has accepted the raised one, it refuses earlier orders that arrive late.
+// Orders carry the fencing token of the leadership row. When a worker restarts under its id, an acknowledgement to it gets no answer, or
+// a run ends there whose start may still arrive, the leader raises the token for it: once its process has accepted the raised one, it
+// refuses earlier orders that arrive late.
 
 // requireFence requires that the worker accepts a fencing token above those of all orders sent so far, before it gets starts.
 func (l *Loop) requireFence(w *worker) { w.minFence = l.requestFence() }
--- a/entry/anvilscheduler/fleet.go
+++ b/entry/anvilscheduler/fleet.go
@@ -95,6 +95,8 @@
 	lastHold     anvilclock.Millis
 	// failures counts consecutive orders without a usable answer.
 	failures int
+	// mayHaveEnded means that the last order before the next hold failed after others were answered.
+	mayHaveEnded bool
 	// probeInFlight means that the hold in flight counts in probesInFlight of the fleet.
 	probeInFlight bool
 	// backoffUntil is the time up to which the worker gets no starts.
--- a/entry/anvilscheduler/harness_worker_test.go
+++ b/entry/anvilscheduler/harness_worker_test.go
@@ -26,13 +26,15 @@
 	hiddenEnds int
 	lastEnd    int64
 	starts     int
+	holds      int
 	// clockLag is by how much the worker's clock runs slow, in percent; incarnations begin at startedAt.
 	clockLag  anvilclock.Millis
 	startedAt anvilclock.Millis
-	// refusing means that nothing accepts connections. unreachable loses all orders, loseHolds only holds. loseAnswers
+	// refusing means that nothing accepts connections, unwell that the worker refuses all orders as unavailable. unreachable loses all orders, loseHolds only holds. loseAnswers
 	// carries orders out and loses the answers. ignoreStops confirms stops without ending the run. startFault, unless empty,
 	// refuses starts.
 	refusing    bool
+	unwell      bool
 	unreachable bool
 	loseHolds   bool
 	loseAnswers bool
@@ -137,6 +139,9 @@
 	if fw != nil && fw.refusing {
 		return nil, NewOrderError(FaultRefused, 0, errDown)
 	}
+	if fw != nil && fw.unwell {
+		return nil, NewOrderError(FaultUnavailable, 0, nil)
+	}
 	if fw == nil || fw.unreachable {
 		return nil, NewOrderError(FaultNoReply, 0, errDown)
 	}
@@ -233,6 +238,9 @@
 	if fw := fc.workers[to.ID()]; fw != nil && fw.refusing && o.Reconnect() > 0 {
 		fw.reconnecting = append(fw.reconnecting, reconnectingHold{token: o.Token(), until: fc.clock.Now() + orderTimeout})
 	}
+	if fw := fc.workers[to.ID()]; fw != nil {
+		fw.holds++
+	}
 	fw, err := fc.admitOrder(to, o.Token())
 	if err != nil {
 		return Report{}, err
--- a/entry/anvilscheduler/hold.go
+++ b/entry/anvilscheduler/hold.go
@@ -16,8 +16,8 @@
 		return
 	}
 	o, exposed := HoldOrder{token: w.fence}, w.exposed(now)
-	// The process may have ended with the first order that fails, and the next one may start at any time.
-	if now-w.lastHold < minHoldInterval && (!exposed || w.failures != 1) {
+	reconnect := exposed && w.mayHaveEnded
+	if now-w.lastHold < minHoldInterval && !reconnect {
 		return
 	}
 	if w.acked > w.sentAck && len(w.unverified) == 0 {
@@ -34,7 +34,14 @@
 			// The next process may get the order, which has no ends to acknowledge.
 			o.reconnect, o.acked = l.reconnectInterval(), 0
 		}
-		if (w.lastHold != 0 && now-w.lastHold < w.probeInterval(exposed)) || !l.claimProbe(w, limit) {
+		interval := probeInterval
+		switch {
+		case reconnect:
+			interval = 0
+		case exposed:
+			interval = exposedHoldInterval
+		}
+		if (w.lastHold != 0 && now-w.lastHold < interval) || !l.claimProbe(w, limit) {
 			return
 		}
 	case w.minFence != 0 && w.fence >= w.minFence:
@@ -47,7 +54,10 @@
 	case w.acked > w.sentAck:
 		// The hold acknowledges ends. While tasks run, the same call waits for the next end.
 	case exposed && w.processed == w.acked:
-		// The hold fails as soon as the process ends.
+		// The hold waits, and fails as soon as the process ends.
+		if now < w.backoffUntil {
+			return
+		}
 	case len(w.tasks) == 0:
 		// The reply shows the clock of a worker that may get a start.
 		if w.registration.draining || now-w.lastReply < w.idleReplyAge(now) || !l.claimProbe(w, maxIdleProbes) {
@@ -137,9 +147,10 @@
 		w.extendLease(now)
 	}
 	timeout := o.wait + orderTimeout
-	if o.reconnect != 0 && w.failures == 1 {
+	if o.reconnect != 0 && w.mayHaveEnded {
 		timeout = firstReconnectTimeout
 	}
+	w.mayHaveEnded = false
 	ctx, workers, to, token := l.leadershipContext(), l.workers, w.target(), l.leadership.token
 	l.spawn(func() {
 		ctx, cancel := withTimeout(ctx, timeout)
@@ -220,6 +231,7 @@
 	case FaultNoReply, FaultInvalid, FaultRefused:
 		// A refused connection doesn't show that the worker's process has exited: a network partition can refuse it, too.
 		w.failures++
+		w.mayHaveEnded = w.failures == 1
 		if w.failures >= unresponsiveAfter {
 			l.fireWorker(w, "silent")
 		}
--- a/entry/anvilscheduler/interfaces.go
+++ b/entry/anvilscheduler/interfaces.go
@@ -205,7 +205,7 @@
 	until anvilclock.Millis
 	acked int64
 	wait  anvilclock.Millis
-
+	// reconnect is the pause before another attempt to connect.
 	reconnect anvilclock.Millis
 }
 
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -124,14 +124,12 @@
 	// lateOrderWindow is how long after its time-out an order may still be carried out. On the users' platform orders are
 	// carried out up to 12 s late.
 	lateOrderWindow = anvilclock.Millis(12_000)
-	// exposedHoldInterval replaces maxHoldWait and clockRefreshAge for a worker at which the start of a run that has ended may still
+	// exposedHoldInterval replaces maxHoldWait, clockRefreshAge and probeInterval for a worker at which the start of a run that has ended may still
 	// arrive: its next process has to refuse that start soon after it has begun.
 	exposedHoldInterval = anvilclock.Millis(200)
-	// exposedProbeInterval replaces probeInterval for such a worker, and reconnectInterval is the pause between two attempts to connect
-	// to it while nothing listens there.
-	exposedProbeInterval = anvilclock.Millis(50)
-	reconnectInterval    = anvilclock.Millis(5)
-	// firstReconnectTimeout replaces orderTimeout for the first hold that waits for the next process: it may be carried out late itself.
+	// reconnectInterval is the pause between two attempts to connect to such a worker while nothing listens there.
+	reconnectInterval = anvilclock.Millis(5)
+	// firstReconnectTimeout replaces orderTimeout for the first hold after one that failed: it may be lost or late itself.
 	firstReconnectTimeout = anvilclock.Millis(250)
 	// reconnectsPerInterval is the number of probes in flight with which reconnectInterval is doubled.
 	reconnectsPerInterval = 8
