anvilscheduler: check in the simulation that a job is stored as begun only once a worker has started a task

Change: each state that is stored as running, completed or failed is checked against the starts that workers have carried out.

--- a/entry/anvilscheduler/simulation_store_test.go
+++ b/entry/anvilscheduler/simulation_store_test.go
@@ -7,6 +7,7 @@
 
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilclock"
+	"anvilhold.org/lib/anviljob"
 )
 
 // Calls to the store, which take time, and whose answers can be lost or late.
@@ -24,12 +25,33 @@
 	if err != nil {
 		return receipt, err
 	}
+	for _, r := range tx.Sets() {
+		if r.Table() == anvilstorage.States {
+			s.checkState(r)
+		}
+	}
 	for _, r := range deleted {
 		s.deleted = append(s.deleted, anvilstorage.ReadRow(r.Table(), r.Key(), nil, receipt.Version(), true))
 	}
 	return receipt, nil
 }
 
+// checkState checks that a job is stored as begun only after a worker has started a task of it: the others count as waiting.
+func (s *simulation) checkState(r anvilstorage.Row) {
+	state, err := anvilstorage.ParseState(r)
+	if err != nil {
+		s.violate("state of %s: %v", r.Key(), err)
+		return
+	}
+	switch state.State() {
+	case anviljob.Running, anviljob.Completed, anviljob.Failed:
+		if !s.begun[state.ID()] {
+			s.violate("not begun: %s is stored as %s", state.ID(), state.State())
+		}
+	default:
+	}
+}
+
 // commit plays one attempt of a transaction.
 func (l *simLoop) commit(tx *anvilstorage.Tx, key string, answered func(anvilstorage.Receipt, error)) {
 	s := l.sim
--- a/entry/anvilscheduler/simulation_test.go
+++ b/entry/anvilscheduler/simulation_test.go
@@ -39,6 +39,8 @@
 	steps    map[string]*anviljob.Step
 	done     map[anviljob.TaskID][]*simDone
 	nextID   int
+	// begun holds the jobs of which a worker has started a task, also one that waits for the rest of its gang.
+	begun map[string]bool
 	// peers means that instances call each other.
 	peers bool
 	// ideal leaves out what an order does at another process than the one that it was sent to: "other process" loses the
@@ -102,7 +104,7 @@
 func newSimulation(t testing.TB, seed uint64) *simulation {
 	s := &simulation{
 		t: t, seed: seed, cluster: newFakeCluster(t, testPolicy()), rng: rand.New(rand.NewPCG(seed, 1)),
-		steps: map[string]*anviljob.Step{}, done: map[anviljob.TaskID][]*simDone{},
+		steps: map[string]*anviljob.Step{}, done: map[anviljob.TaskID][]*simDone{}, begun: map[string]bool{},
 	}
 	s.clock = s.cluster.clock
 	return s
--- a/entry/anvilscheduler/simulation_worker_test.go
+++ b/entry/anvilscheduler/simulation_worker_test.go
@@ -305,6 +305,7 @@
 		return NewOrderError(FaultNoCapacity, p.clock(), nil)
 	}
 	s.starts++
+	s.begun[o.Task().Job()] = true
 	s.record("start run %d of %s at %s until %d of clock %d, %s", o.Run(), o.Task(), p, o.Until(), p.clock(), how)
 	s.checkStart(p, o.Task(), o.Run(), how)
 	r := &simRun{step: step, present: s.now(), outcome: CauseDone, saved: o.Checkpoint()}
--- a/entry/anvilscheduler/twice_test.go
+++ b/entry/anvilscheduler/twice_test.go
@@ -337,6 +337,24 @@
 	t.Logf("%d seeds, %d with a fault, %d starts, %d successful ends that were acknowledged, %d jobs ended", count, failures, starts, noted, completed)
 }
 
+// Guards against a simulation that doesn't see a job that is stored as running although no worker has begun a task of it.
+func TestSimulationChecksStates(t *testing.T) {
+	for state, want := range map[anviljob.State]int{anviljob.Queued: 0, anviljob.Running: 1, anviljob.Completed: 1, anviljob.Cancelled: 0} {
+		t.Run(string(state), func(t *testing.T) {
+			s := newSimulation(t, 1)
+			row, err := anvilstorage.StateRow(anvilstorage.NewJobState("j1", plainQueue, teamName, state, 0))
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.checkState(row)
+			assertEqual(t, "violations", len(s.violations), want)
+			s.violations, s.begun["j1"] = nil, true
+			s.checkState(row)
+			assertEqual(t, "violations once it has begun", len(s.violations), 0)
+		})
+	}
+}
+
 // Guards against a simulation that finds nothing because its checks don't see a second run.
 func TestSimulationChecks(t *testing.T) {
 	id := anviljob.NewTaskID("j1", 0, 0, 0)
