--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -410,7 +410,7 @@
 	c := &l.state
 	if p := m.page.Policy(); p != nil && (c.policy == nil || p.Version() > c.policy.Version()) {
 		c.policy, c.policyRowVersion = p, m.page.RowVersion()
-		l.log.Record(anvilevent.PolicyApplied, "version", p.Version(), "row", c.policyRowVersion)
+		l.log.Record(anvilevent.PolicyApplied, "version", p.Version(), "row", c.policyRowVersion, "took", int64(l.clock.Now()-m.since))
 		l.requestPass()
 	}
 	if c.policy != nil {
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -152,6 +152,7 @@
 	DomainEmpty         ID = 6511
 	StartsHeld          ID = 6512
 	StartsResumed       ID = 6513
+	StoreTraffic        ID = 6514
 	ProcessStarted      ID = 6601
 	ProcessLeaving      ID = 6602
 	ProcessStopped      ID = 6603
@@ -278,6 +279,7 @@
 	{DomainEmpty, "domain empty", "No task is left at the workers of an evacuated failure domain."},
 	{StartsHeld, "starts held", "The leader sends no starts, because its knowledge of evacuations is too old."},
 	{StartsResumed, "starts resumed", "The leader knows the evacuations again, or is no longer leader."},
+	{StoreTraffic, "store traffic", "Every 5 s: for each kind of call of the store, the calls, those that failed, and the bytes sent and received."},
 	{ProcessStarted, "process started", "The process accepts calls."},
 	{ProcessLeaving, "process leaving", "The process was asked to stop."},
 	{ProcessStopped, "process stopped", "The process ends."},
