anvilscheduler: count the age of a configuration in a conflict from the sending

A conflict of a commit carries the newest configuration. Loop.UpdatePolicy counted it as confirmed from when the answer arrived, so it seemed younger than it was by as much as the answer took: 0.7 s and more over a full link, and calls were answered from it for that much longer. The page carries the time at which its call was sent.

--- a/entry/anvilintake/intake_test.go
+++ b/entry/anvilintake/intake_test.go
@@ -38,6 +38,8 @@
 	sizes []int
 	// onCommit, when set, is called by each commit.
 	onCommit func()
+	// conditions are the versions that the commits expect of the configuration's row.
+	conditions []int64
 }
 
 func (s *store) Commit(_ context.Context, tx *anvilstorage.Tx) (anvilstorage.Receipt, error) {
@@ -45,6 +47,7 @@
 		<-s.gate
 	}
 	s.commits++
+	s.conditions = append(s.conditions, tx.PolicyRowVersion())
 	if s.onCommit != nil {
 		s.onCommit()
 	}
@@ -140,7 +143,7 @@
 		t.Fatal(err)
 	}
 	c := &control{loop: loop, clock: clock}
-	loop.UpdatePolicy(anvilstorage.NewPolicyPage(policy(1), 3, 3))
+	loop.UpdatePolicy(anvilstorage.NewPolicyPage(policy(1), 3, 3).SentAt(clock.Now()))
 	loop.ProcessMessages()
 	s, f := &store{}, &forwarder{replies: map[string]Reply{}}
 	return &harness{in: New(s, c, &notifier{}, f, &anvilevent.Log{}, meter{}), store: s, control: c, forwarder: f}
@@ -224,6 +227,7 @@
 	t.Run("a newer configuration in a conflict is applied", func(t *testing.T) {
 		// Guards against storing jobs under a configuration that was replaced.
 		h := newHarness(t)
+		h.control.clock.Advance(maxConfigAge)
 		page := anvilstorage.NewPolicyPage(policy(2), 5, 5)
 		h.store.errs = []error{anvilstorage.NewConflict(nil, &page)}
 		assertResult(t, submit(t, h, "/k/"+goodID, "key"), Accepted)
@@ -261,7 +265,8 @@
 // both the job and the newer configuration.
 func TestRemovedKeyOfStoredJob(t *testing.T) {
 	h := newHarness(t)
-	page := withoutKey()
+	h.control.clock.Advance(maxConfigAge)
+	page := withoutKey().SentAt(h.control.clock.Now())
 	h.store.errs = []error{anvilstorage.NewConflict([]anvilstorage.Row{anvilstorage.ReadRow(anvilstorage.States, goodID, nil, 4, false)}, &page)}
 	assertResult(t, submit(t, h, "/k/"+goodID, "key"), Unauthorized)
 }
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -276,10 +276,10 @@
 // Clock returns the clock that the loop's times refer to.
 func (l *Loop) Clock() anvilclock.Clock { return l.clock }
 
-// UpdatePolicy passes the loop a configuration that another call of this instance has read. The loop ignores it unless
-// it is newer than its own. It is safe for concurrent use.
+// UpdatePolicy passes the loop a configuration that another call of this instance has read. It confirms the version in force
+// from when that call was sent. It is safe for concurrent use.
 func (l *Loop) UpdatePolicy(page anvilstorage.PolicyPage) {
-	l.post(policyRead{page: page, since: l.clock.Now()})
+	l.post(policyRead{page: page, since: page.Sent()})
 }
 
 // ReceiveRows passes the loop rows that another instance has stored, ahead of the store's feed: submissions and
--- a/entry/anvilstorage/tx.go
+++ b/entry/anvilstorage/tx.go
@@ -231,6 +231,7 @@
 	policy      *anvilpolicy.Policy
 	rowVersion  int64
 	version     int64
+	sent        anvilclock.Millis
 	evacuations *anvilevacuation.Page
 }
 
@@ -246,6 +247,16 @@
 // RowVersion returns the version of the configuration's row, for Tx.ExpectPolicy; 0 when Policy is nil.
 func (p PolicyPage) RowVersion() int64 { return p.rowVersion }
 
+// SentAt returns a copy of the page with the local time at which the call that read it was sent.
+func (p PolicyPage) SentAt(t anvilclock.Millis) PolicyPage {
+	p.sent = t
+	return p
+}
+
+// Sent returns the local time at which the call was sent: the page shows the configuration of that time or a later one. It is 0
+// when the time isn't known.
+func (p PolicyPage) Sent() anvilclock.Millis { return p.sent }
+
 // WithEvacuations returns a copy of the page with what the same read has shown of evacuations.
 func (p PolicyPage) WithEvacuations(e *anvilevacuation.Page) PolicyPage {
 	p.evacuations = e
