anvilintake: refuse for good only by a confirmed configuration

Callers saw 404 for a queue that an acknowledged version had, for as long as the reads of the configuration failed: Intake.admit refused with 'no queue' and 'unauthorized' without a look at the age of the configuration. Such a refusal is 'can't be confirmed' now (503 with a delay) once the configuration is too old, for all kinds of calls and for the check before a body is read.

--- a/entry/anvilintake/intake.go
+++ b/entry/anvilintake/intake.go
@@ -62,20 +62,39 @@
 	meter     Meter
 	batch     *batcher
 	gate      *anviladmission.Gate
+	// configAge is the time since the configuration was last confirmed up to which calls are decided by it.
+	configAge anvilclock.Millis
 }
 
-// New returns an intake. All arguments are required.
-func New(store Store, control Control, notifier Notifier, forwarder Forwarder, log *anvilevent.Log, meter Meter) *Intake {
-	return &Intake{
+// Option sets an optional part of an Intake.
+type Option func(*Intake)
+
+// WithConfigBound sets the time after which calls may no longer be decided by an older configuration than the acknowledged
+// one. Without it, or with a longer one, maxConfigAge holds.
+func WithConfigBound(d anvilclock.Millis) Option {
+	return func(in *Intake) {
+		if d > 0 {
+			in.configAge = min(d, maxConfigAge)
+		}
+	}
+}
+
+// New returns an intake. All arguments but the options are required.
+func New(store Store, control Control, notifier Notifier, forwarder Forwarder, log *anvilevent.Log, meter Meter, opts ...Option) *Intake {
+	in := &Intake{
 		store: store, control: control, notifier: notifier, forwarder: forwarder, log: log, meter: meter, batch: newBatcher(store, control.Clock()),
-		gate: anviladmission.NewGate(),
+		gate: anviladmission.NewGate(), configAge: maxConfigAge,
 	}
+	for _, opt := range opts {
+		opt(in)
+	}
+	return in
 }
 
 // Time limits and delays.
 const (
-	// maxConfigAge is the time since the configuration was last confirmed up to which calls are answered from
-	// memory. A withdrawn key must stop working within 5 s.
+	// maxConfigAge bounds the time since the configuration was last confirmed up to which calls are decided by it. A
+	// withdrawn key must stop working within 5 s.
 	maxConfigAge = anvilclock.Millis(3000)
 	// commitTimeout bounds one commit. A slow store takes a quarter of a second for it, and up to a second
 	// before that for the transactions ahead of it.
@@ -190,20 +209,31 @@
 	}
 	var ok bool
 	if a.queue, a.id, ok = policy.Route(c.host, c.path); !ok {
-		return a, &Reply{result: NoQueue, reason: "there is no queue at this host and path"}
+		return a, in.reject(a.view, NoQueue, "there is no queue at this host and path")
 	}
 	if a.queue.Open() && c.key == "" {
 		return a, nil
 	}
 	if a.team, ok = policy.TeamByKey(c.key); !ok && !a.queue.Open() {
-		return a, &Reply{result: Unauthorized, reason: "the key is not known"}
+		return a, in.reject(a.view, Unauthorized, "the key is not known")
 	}
 	return a, nil
 }
 
-// configFresh reports whether the configuration was confirmed recently enough to answer from memory.
+// reject returns the reply that rejects a call by the configuration of a view. A newer configuration may allow the call, so one
+// that isn't confirmed rejects nothing for good.
+func (in *Intake) reject(v *anvilscheduler.View, result Result, reason string) *Reply {
+	if !in.configFresh(v) {
+		return refuseUnconfirmed()
+	}
+	return &Reply{result: result, reason: reason}
+}
+
+func refuseUnconfirmed() *Reply { return refuse("the configuration can't be confirmed") }
+
+// configFresh reports whether the configuration was confirmed recently enough to decide calls.
 func (in *Intake) configFresh(v *anvilscheduler.View) bool {
-	return v.Confirmed() > 0 && in.control.Clock().Now()-v.Confirmed() < maxConfigAge
+	return v.Confirmed() > 0 && in.control.Clock().Now()-v.Confirmed() < in.configAge
 }
 
 const idLength = 16
@@ -368,7 +398,7 @@
 		return a, anvilstorage.JobState{}, refusePartitioned()
 	}
 	if !in.configFresh(a.view) {
-		return a, anvilstorage.JobState{}, refuse("the configuration can't be confirmed")
+		return a, anvilstorage.JobState{}, refuseUnconfirmed()
 	}
 	if !validID(a.id) {
 		return a, anvilstorage.JobState{}, &Reply{result: NoJob, reason: "there is no such job"}
--- a/entry/anvilintake/intake_test.go
+++ b/entry/anvilintake/intake_test.go
@@ -135,7 +135,7 @@
 		anvilpolicy.NewTeam("water", 1, anvilsize.Size{}, []string{"other"})))
 }
 
-func newHarness(t *testing.T) *harness {
+func newHarness(t *testing.T, opts ...Option) *harness {
 	t.Helper()
 	clock := anvilclock.NewManual(10_000)
 	loop, err := anvilscheduler.New(anvilstorage.NewInstance("e1", "a:1", "d1", 0), nil, nil, nil, nil, anvilscheduler.WithClock(clock))
@@ -146,7 +146,7 @@
 	loop.UpdatePolicy(anvilstorage.NewPolicyPage(policy(1), 3, 3).SentAt(clock.Now()))
 	loop.ProcessMessages()
 	s, f := &store{}, &forwarder{replies: map[string]Reply{}}
-	return &harness{in: New(s, c, &notifier{}, f, &anvilevent.Log{}, meter{}), store: s, control: c, forwarder: f}
+	return &harness{in: New(s, c, &notifier{}, f, &anvilevent.Log{}, meter{}, opts...), store: s, control: c, forwarder: f}
 }
 
 func spec(t *testing.T) *anviljob.Spec {
