anvilintake: don't expect the configuration's row while it is confirmed

Submissions and cancellations expected the row of the configuration.

The users' rules bound how long after its acknowledgement a version decides calls (config_apply_ms, revoke_ms), counted from when the call was sent. A configuration that was confirmed within the bound, counted from the sending of the read, keeps that without a condition; commits expect the row only when it isn't confirmed, and a conflict confirms it for the next try.

Changes of the configuration still cost the link 41 MB for each failure domain.

--- a/entry/anvilintake/batch.go
+++ b/entry/anvilintake/batch.go
@@ -28,7 +28,7 @@
 type batchEntry struct {
 	id               string
 	rows             []anvilstorage.Row
-	policyRowVersion int64 // the version of the configuration's row
+	policyRowVersion int64 // the version that the configuration's row must have; 0 for no condition
 	sent             bool
 	// done is closed once receipt or err is set.
 	done    chan struct{}
@@ -42,7 +42,7 @@
 
 var errNotSent = errors.New("nothing was sent")
 
-// commit stores the rows of a submission if its id is new and the configuration has not changed. A second
+// commit stores the rows of a submission if its id is new and the configuration's row has a version, which 0 leaves open. A second
 // submission of the same id waits for the first and gets its result. Once partitionDetected is closed, commit stops
 // waiting for the store.
 func (b *batcher) commit(ctx context.Context, partitionDetected <-chan struct{}, id string, rows []anvilstorage.Row, policyRowVersion int64) (anvilstorage.Receipt, error) {
@@ -132,8 +132,8 @@
 // maxBatchBytes is the size of a batch's rows above which no other submission is added.
 const maxBatchBytes = anvilstorage.MaxBytes / 2
 
-// nextBatch removes the next batch from the queue: submissions that were admitted under the same configuration as the
-// first one, as many as a transaction can hold. The transaction has one condition on the configuration.
+// nextBatch removes the next batch from the queue: submissions with the same condition on the configuration as the first one,
+// as many as a transaction can hold.
 func (b *batcher) nextBatch() []*batchEntry {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/entry/anvilintake/intake.go
+++ b/entry/anvilintake/intake.go
@@ -250,8 +250,17 @@
 	return true
 }
 
-// Submit stores a job. The commit succeeds only under the newest stored configuration. A submission is idempotent: an id
-// that is already stored is accepted and leaves the stored job as it is.
+// condition returns the version that the row of the configuration must have in a commit of a call, or 0 for no condition. While
+// the configuration is confirmed, its age bounds how long an older version decides calls, and a change that doesn't concern
+// the call is no conflict. Otherwise the store confirms it with the commit.
+func (in *Intake) condition(v *anvilscheduler.View) int64 {
+	if in.configFresh(v) {
+		return 0
+	}
+	return v.PolicyRowVersion()
+}
+
+// Submit stores a job. A submission is idempotent: an id that is already stored is accepted and leaves the stored job as it is.
 func (in *Intake) Submit(ctx context.Context, c Call, spec *anviljob.Spec) Reply {
 	return in.serve(ctx, KindSubmit, c, spec)
 }
@@ -304,7 +313,7 @@
 	if err != nil {
 		return Reply{result: Invalid, reason: err.Error()}, false
 	}
-	receipt, err := in.batch.commit(ctx, connectivity.PartitionDetected(), a.id, rows, a.view.PolicyRowVersion())
+	receipt, err := in.batch.commit(ctx, connectivity.PartitionDetected(), a.id, rows, in.condition(a.view))
 	if err == nil {
 		in.control.Directory().Put(state, receipt.Version())
 		in.notify(rows)
@@ -483,7 +492,7 @@
 		return reply, false
 	}
 	tx := anvilstorage.NewTx(anvilstorage.CallsPartition)
-	tx.ExpectPolicy(a.view.PolicyRowVersion())
+	tx.ExpectPolicy(in.condition(a.view))
 	row, err := anvilstorage.CancelRow(a.id, a.queue.Name(), a.team)
 	if err != nil {
 		return *refuse(err.Error()), false
