anvilscheduler: read the configuration through other instances

Now the instances of a region form a tree and read from each other, as differences, and a region without the leader reads from one with it (docs/design/configuration.md). What is confirmed, and since when, comes with each answer. A read of the store in place of a failed one returns the newest version alone.

--- a/entry/anvilintake/regions_test.go
+++ b/entry/anvilintake/regions_test.go
@@ -24,19 +24,20 @@
 // The simulated fleet has a region with the store and a far region. Answers to the far region share one link. Time is that of a
 // synctest bubble.
 const (
-	linkBytesPerMilli = 7500 // 60 Mbit/s
-	linkChunk         = 16 << 10
-	nearDelay         = time.Millisecond
-	farDelay          = 12 * time.Millisecond
-	configRowBytes    = 145_000 // in the store's encoding
-	smallBytes        = 300
-	configBound       = 4 * time.Second
+	bytesPerMilli  = 125 // of a link of 1 Mbit/s
+	linkChunk      = 16 << 10
+	nearDelay      = time.Millisecond
+	farDelay       = 12 * time.Millisecond
+	configRowBytes = 145_000 // in the store's encoding
+	smallBytes     = 300
+	configBound    = 4 * time.Second
 )
 
 var errSimulatedStore = errors.New("no answer")
 
 // link carries the answers of the store to the far region, one chunk after another.
 type link struct {
+	mbits int
 	mu    sync.Mutex
 	until time.Time
 	bytes int
@@ -50,7 +51,7 @@
 		if now := time.Now(); l.until.Before(now) {
 			l.until = now
 		}
-		l.until = l.until.Add(time.Duration(size) * time.Millisecond / linkBytesPerMilli)
+		l.until = l.until.Add(time.Duration(size) * time.Millisecond / time.Duration(l.mbits*bytesPerMilli))
 		l.bytes += size
 		wait := time.Until(l.until)
 		l.mu.Unlock()
@@ -358,8 +359,18 @@
 	link      *link
 	instances []*instance
 	byAddr    map[string]*instance
+	// failing holds how instances fail that others ask for the configuration, by their addresses.
+	failing sync.Map
 }
 
+// failure is how an instance fails that another one asks for the configuration.
+type failure string
+
+const (
+	silent failure = "silent" // it doesn't answer
+	gone   failure = "gone"   // nothing listens there
+)
+
 func (f *fleet) Notify(addr string, forwardTo []string, rows ...anvilstorage.Row) {
 	for _, to := range append([]string{addr}, forwardTo...) {
 		if in := f.byAddr[to]; in != nil {
@@ -390,17 +401,53 @@
 	return ctx.Err()
 }
 
+// policyPeers is how an instance asks others for the configuration. Answers from the other region cross the link.
+type policyPeers struct {
+	fleet  *fleet
+	region string
+}
+
+func (p policyPeers) Policy(ctx context.Context, addr string, q anvilscheduler.PolicyQuery) (anvilscheduler.PolicyShare, error) {
+	if how, ok := p.fleet.failing.Load(addr); ok {
+		if how == silent {
+			<-ctx.Done()
+		}
+		return anvilscheduler.PolicyShare{}, errSimulatedStore
+	}
+	in := p.fleet.byAddr[addr]
+	delay := nearDelay
+	if in.region != p.region {
+		delay = farDelay
+	}
+	if err := pause(ctx, delay); err != nil {
+		return anvilscheduler.PolicyShare{}, err
+	}
+	share, err := in.loop.Policy(ctx, q)
+	if err == nil && in.region != p.region {
+		err = p.fleet.link.carry(ctx, smallBytes+len(share.Difference()))
+	}
+	if err == nil {
+		err = pause(ctx, delay)
+	}
+	return share, err
+}
+
 // startFleet starts instances in both regions, half of them in each, and waits until they know the configuration.
-func startFleet(t *testing.T, n int) *fleet {
+func startFleet(t *testing.T, n, linkMbits int) *fleet {
 	t.Helper()
-	f := &fleet{store: newFleetStore(), link: &link{}, byAddr: map[string]*instance{}}
+	f := &fleet{store: newFleetStore(), link: &link{mbits: linkMbits}, byAddr: map[string]*instance{}}
 	f.store.setConfig(simulatedPolicy(1, 1, "key-0"))
 	for i := range n {
 		region := "near"
 		if i%2 == 1 {
 			region = "far"
 		}
-		f.start(t, i, region)
+		f.add(t, i, region)
+	}
+	for _, in := range f.instances {
+		ctx, cancel := context.WithCancel(context.Background())
+		in.stop = cancel
+		go func() { _ = in.loop.Run(ctx) }()
 	}
 	time.Sleep(5 * time.Second)
 	synctest.Wait()
@@ -410,7 +457,7 @@
 	return f
 }
 
-func (f *fleet) start(t *testing.T, i int, region string) {
+func (f *fleet) add(t *testing.T, i int, region string) {
 	t.Helper()
 	clock := anvilclock.NewSystem()
 	client := &storeClient{store: f.store, clock: clock}
@@ -419,17 +466,15 @@
 	}
 	in := &instance{addr: fmt.Sprintf("10.0.0.%d:7", i), region: region, store: client}
 	self := anvilstorage.NewInstance(fmt.Sprintf("e%d", i), in.addr, region+"-1", 200)
-	loop, err := anvilscheduler.New(self, client, client, noWorkers{}, noAdvisors{}, append([]anvilscheduler.Option{
-		anvilscheduler.WithClock(clock), anvilscheduler.WithNotifier(f), anvilscheduler.WithPeers(f)}, regionOptions()...)...)
+	loop, err := anvilscheduler.New(self, client, client, noWorkers{}, noAdvisors{},
+		anvilscheduler.WithClock(clock), anvilscheduler.WithNotifier(f), anvilscheduler.WithPeers(f),
+		anvilscheduler.WithPolicyPeers(policyPeers{fleet: f, region: region}, configParser{}, map[string]string{"near-1": "near", "far-1": "far"}))
 	if err != nil {
 		t.Fatal(err)
 	}
 	in.loop = loop
 	in.intake = anvilintake.New(client, loop, f, f, &anvilevent.Log{}, noMeter{})
 	f.instances, f.byAddr[in.addr] = append(f.instances, in), in
-	ctx, cancel := context.WithCancel(context.Background())
-	in.stop = cancel
-	go func() { _ = loop.Run(ctx) }()
 }
 
 func (f *fleet) stop() {
@@ -532,8 +577,9 @@
 		for _, in := range f.in("far") {
 			for _, queue := range []int64{1, acked.due(configBound)} {
 				id++
+				job := id
 				wg.Go(func() {
-					r := in.call(t, id, queue)
+					r := in.call(t, job, queue)
 					out.mu.Lock()
 					defer out.mu.Unlock()
 					out.counts[r]++
@@ -569,20 +615,24 @@
 )
 
 func TestFarRegionIsServedDuringConfigurationChanges(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startFleet(t, 24)
-		defer f.stop()
-		var acked ackedVersions
-		go f.series(changes, changeGap, acked.add)
-		f.load(t, (changes+10)*changeGap, &acked).assertServed(t, 0.95)
-	})
+	for _, c := range []struct{ instances, mbits int }{{24, 60}, {24, 20}, {64, 60}} {
+		t.Run(fmt.Sprintf("%d instances and %d Mbit per s", c.instances, c.mbits), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, c.instances, c.mbits)
+				defer f.stop()
+				var acked ackedVersions
+				go f.series(changes, changeGap, acked.add)
+				f.load(t, (changes+10)*changeGap, &acked).assertServed(t, 0.95)
+			})
+		})
+	}
 }
 
 func TestConfigurationChangeCrossesLinkOnce(t *testing.T) {
 	cost := func(t *testing.T, instances int) (perChange int) {
 		t.Helper()
 		synctest.Test(t, func(t *testing.T) {
-			f := startFleet(t, instances)
+			f := startFleet(t, instances, 60)
 			defer f.stop()
 			before := f.link.carried()
 			f.series(changes, changeGap, func(int64, time.Time) {})
@@ -602,7 +652,7 @@
 
 func TestReaderCatchesUpAfterManyChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := startFleet(t, 24)
+		f := startFleet(t, 24, 60)
 		defer f.stop()
 		var acked ackedVersions
 		setDown := func(down bool) {
@@ -621,3 +671,36 @@
 		}
 	})
 }
+
+// assertConfirmed checks that the configuration of all instances was confirmed less than a time ago.
+func (f *fleet) assertConfirmed(t *testing.T, maxAge anvilclock.Millis) {
+	t.Helper()
+	for _, in := range f.instances {
+		if age := in.loop.Clock().Now() - in.loop.View().Confirmed(); age > maxAge {
+			t.Fatalf("the configuration of %s in %s was confirmed %d ms ago", in.addr, in.region, age)
+		}
+	}
+}
+
+func TestInstancesKeepUpWhenOthersDoNotRelay(t *testing.T) {
+	for _, how := range []failure{silent, gone} {
+		t.Run(string(how), func(t *testing.T) {
+			// Guards against instances whose configuration gets too old because those that they ask fail.
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, 24, 60)
+				defer f.stop()
+				for _, addr := range []string{"10.0.0.1:7", "10.0.0.10:7", "10.0.0.11:7", "10.0.0.12:7"} {
+					f.failing.Store(addr, how)
+				}
+				go f.series(changes, changeGap, func(int64, time.Time) {})
+				for range (changes + 10) * changeGap / (100 * time.Millisecond) {
+					time.Sleep(100 * time.Millisecond)
+					f.assertConfirmed(t, 2500)
+				}
+				for _, in := range f.instances {
+					assertAnswer(t, f, in, fmt.Sprintf("/q%d/", changes+1), "key-0", anvilintake.Answered)
+				}
+			})
+		})
+	}
+}
--- a/entry/anvillink/client.go
+++ b/entry/anvillink/client.go
@@ -162,6 +162,28 @@
 	return anvilstorage.NewPage(parseRows(out.GetRows()), out.GetVersion(), 0), nil
 }
 
+// Policy returns what the instance at addr knows of the operator's configuration, once it is newer than the query names or the query's
+// wait is over. It fails when that instance has not confirmed it recently.
+func (l *Links) Policy(ctx context.Context, addr string, q anvilscheduler.PolicyQuery) (anvilscheduler.PolicyShare, error) {
+	conn, err := l.connection(addr)
+	if err != nil {
+		return anvilscheduler.PolicyShare{}, err
+	}
+	in := &Wanted{}
+	in.SetRow(q.RowVersion())
+	in.SetMark(q.Mark())
+	in.SetWait(int64(q.Wait()))
+	out, err := NewLinkClient(conn).Config(ctx, in)
+	if err != nil {
+		return anvilscheduler.PolicyShare{}, err
+	}
+	s := anvilscheduler.NewPolicyShare(out.GetVersion(), out.GetMark(), anvilclock.Millis(out.GetLead()), out.GetEvacuated())
+	if len(out.GetText()) > 0 {
+		s = s.WithDocument(out.GetRow(), out.GetBase(), out.GetText())
+	}
+	return s, nil
+}
+
 // Forward sends a call to the instance at addr and returns its reply. After an error the call may have been carried out.
 func (l *Links) Forward(ctx context.Context, addr string, kind anvilintake.Kind, c anvilintake.Call, spec *anviljob.Spec) (anvilintake.Reply, error) {
 	conn, err := l.connection(addr)
--- a/entry/anvillink/link_test.go
+++ b/entry/anvillink/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -46,6 +47,17 @@
 	return anvilstorage.NewPage([]anvilstorage.Row{anvilstorage.ReadRow(anvilstorage.States, "j1", []byte("v"), after+1, false)}, after+2, 0), nil
 }
 
+func (control) Policy(_ context.Context, q anvilscheduler.PolicyQuery) (anvilscheduler.PolicyShare, error) {
+	if q.Mark() == 0 {
+		return anvilscheduler.PolicyShare{}, errors.New("not confirmed")
+	}
+	s := anvilscheduler.NewPolicyShare(90, q.Mark()+1, -30, []string{"d2"})
+	if q.RowVersion() == 8 {
+		return s, nil
+	}
+	return s.WithDocument(8, q.RowVersion(), []byte("difference")), nil
+}
+
 // decider is a fake whose reply has the received call as its reason.
 type decider struct{}
 
@@ -264,3 +276,38 @@
 		}
 	})
 }
+
+func newLinks(t *testing.T) *Links {
+	t.Helper()
+	l := NewLinks(advisor{})
+	t.Cleanup(l.Close)
+	return l
+}
+
+func TestPolicy(t *testing.T) {
+	query := func(row, mark int64) anvilscheduler.PolicyQuery { return anvilscheduler.NewPolicyQuery(row, mark, 50) }
+	t.Run("a newer configuration", func(t *testing.T) {
+		// Guards against a share that loses a part on the way.
+		got, err := newLinks(t).Policy(t.Context(), serve(t, advisor{}, control{}), query(7, 4))
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := anvilscheduler.NewPolicyShare(90, 5, -30, []string{"d2"}).WithDocument(8, 7, []byte("difference"))
+		if fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	})
+	t.Run("no newer configuration", func(t *testing.T) {
+		// Guards against a confirmation that is taken for an empty configuration.
+		got, err := newLinks(t).Policy(t.Context(), serve(t, advisor{}, control{}), query(8, 4))
+		if err != nil || got.Difference() != nil || got.RowVersion() != 0 || got.Mark() != 5 {
+			t.Fatalf("got %v, %v", got, err)
+		}
+	})
+	t.Run("no recent confirmation", func(t *testing.T) {
+		// Guards against a share of an instance that may lack changes.
+		if _, err := newLinks(t).Policy(t.Context(), serve(t, advisor{}, control{}), query(8, 0)); err == nil {
+			t.Fatal("no error")
+		}
+	})
+}
--- a/entry/anvillink/server.go
+++ b/entry/anvillink/server.go
@@ -40,6 +40,7 @@
 	StoreReplyAge() anvilclock.Millis
 	ConfirmOutage(token int64) bool
 	States(after int64) (anvilstorage.Page, error)
+	Policy(ctx context.Context, q anvilscheduler.PolicyQuery) (anvilscheduler.PolicyShare, error)
 	LeadershipEnded(token int64)
 }
 
@@ -132,6 +133,23 @@
 	return out, nil
 }
 
+// Config implements LinkServer. It blocks until there is something newer than the caller has, or its wait is over.
+func (h *handler) Config(ctx context.Context, m *Wanted) (*Shown, error) {
+	s, err := h.control.Policy(ctx, anvilscheduler.NewPolicyQuery(m.GetRow(), m.GetMark(), anvilclock.Millis(m.GetWait())))
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	out := &Shown{}
+	out.SetRow(s.RowVersion())
+	out.SetBase(s.Base())
+	out.SetText(s.Difference())
+	out.SetVersion(s.Version())
+	out.SetMark(s.Mark())
+	out.SetLead(int64(s.Lead()))
+	out.SetEvacuated(s.Evacuated())
+	return out, nil
+}
+
 // Yield implements LinkServer.
 func (h *handler) Yield(_ context.Context, m *Tenure) (*Heard, error) {
 	h.control.LeadershipEnded(m.GetToken())
--- a/entry/anvilscheduler/connectivity.go
+++ b/entry/anvilscheduler/connectivity.go
@@ -213,7 +213,7 @@
 		return peerList{err: err}
 	}
 	var out []string
-	var domain []anvilstorage.Instance
+	var members, domain []anvilstorage.Instance
 	m, addrs := peersRead{}, map[string]bool{}
 	for _, r := range page.Rows() {
 		in, err := anvilstorage.ParseInstance(r)
@@ -230,7 +230,7 @@
 			continue
 		}
 		addrs[in.Addr()] = true
-		out = append(out, in.Addr())
+		out, members = append(out, in.Addr()), append(members, in)
 		if in.Domain() == l.self.Domain() {
 			domain = append(domain, in)
 		}
@@ -238,6 +238,7 @@
 	m.count = len(out)
 	upstreams := upstreamsOf(l.self, domain)
 	l.upstreams.Store(&upstreams)
+	l.members.Store(&members)
 	l.post(m)
 	return peerList{addrs: out}
 }
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +34,7 @@
 type View struct {
 	policy           *anvilpolicy.Policy
 	policyRowVersion int64
+	document         []byte // the text of policy; nil when it isn't known
 	confirmed        anvilclock.Millis
 	synced           bool
 	shuttingDown     bool
@@ -71,13 +74,18 @@
 	notifier    Notifier
 	peers       Peers
 	witnesses   Witnesses
-	clock       anvilclock.Clock
-	log         *anvilevent.Log
-	check       *anvilinvariant.Checker
-	meter       Meter
-	charts      *charts
-	inbox       chan message
-	view        atomic.Pointer[View]
+	// policyPeers is nil when this instance reads the configuration from the store only. regions maps failure domains to regions.
+	policyPeers  PolicyPeers
+	policyParser PolicyParser
+	regions      map[string]string
+	relay        *policyRelay
+	clock        anvilclock.Clock
+	log          *anvilevent.Log
+	check        *anvilinvariant.Checker
+	meter        Meter
+	charts       *charts
+	inbox        chan message
+	view         atomic.Pointer[View]
 	// isLeader reports to traffic goroutines whether this instance is the leader, and leaderToken its token, or 0.
 	isLeader    atomic.Bool
 	leaderToken atomic.Int64
@@ -94,6 +102,8 @@
 	// witnessRequest is nil while no confirmation of an outage is possible.
 	witnessRequest atomic.Pointer[witnessRequest]
 	witness        witness
+	// members are the other instances; nil while unknown.
+	members atomic.Pointer[[]anvilstorage.Instance]
 	// upstreams are the addresses of the instances from which this one may read the states of jobs; nil while unknown.
 	upstreams atomic.Pointer[[]string]
 	// pollRequests has a value while the pause between two reads of the leadership row should end early.
@@ -142,6 +152,7 @@
 type instanceState struct {
 	policy           *anvilpolicy.Policy
 	policyRowVersion int64
+	document         []byte
 	confirmed        anvilclock.Millis
 	synced           bool
 	shuttingDown     bool
@@ -218,7 +229,7 @@
 	l := &Loop{
 		self: self, store: s, registry: r, workers: w, advisors: a, clock: anvilclock.NewBoot(),
 		log: &anvilevent.Log{}, check: anvilinvariant.New(), meter: noMeter{}, notifier: noNotifier{}, locality: anvillocality.New(0),
-		inbox: make(chan message, inboxSize), directory: NewDirectory(), ctx: context.Background(),
+		inbox: make(chan message, inboxSize), directory: NewDirectory(), relay: newPolicyRelay(), ctx: context.Background(),
 		spawn:        func(f func()) { go f() },
 		after:        func(d anvilclock.Millis, f func()) { time.AfterFunc(d.Duration(), f) },
 		pollRequests: make(chan struct{}, 1),
@@ -400,7 +411,7 @@
 
 func (l *Loop) publish() {
 	l.view.Store(&View{
-		policy: l.state.policy, policyRowVersion: l.state.policyRowVersion, confirmed: l.state.confirmed, synced: l.state.synced,
+		policy: l.state.policy, policyRowVersion: l.state.policyRowVersion, document: l.state.document, confirmed: l.state.confirmed, synced: l.state.synced,
 		shuttingDown: l.state.shuttingDown, leaderAddr: l.leadership.current.Addr(), connectivity: l.state.connectivity,
 		backlog: l.state.backlog,
 	})
@@ -409,7 +420,8 @@
 func (m policyRead) deliver(l *Loop) {
 	c := &l.state
 	if p := m.page.Policy(); p != nil && (c.policy == nil || p.Version() > c.policy.Version()) {
-		c.policy, c.policyRowVersion = p, m.page.RowVersion()
+		c.policy, c.policyRowVersion, c.document = p, m.page.RowVersion(), m.page.Document()
+		l.relay.add(c.policyRowVersion, c.document)
 		l.log.Record(anvilevent.PolicyApplied, "version", p.Version(), "row", c.policyRowVersion, "took", int64(l.clock.Now()-m.since))
 		l.requestPass()
 	}
@@ -419,6 +431,9 @@
 	if e := m.page.Evacuations(); e != nil {
 		l.applyEvacuations(e, m.since)
 	}
+	if m.complete {
+		l.relay.confirm(m.since, m.page.Version(), slices.Sorted(maps.Keys(l.evacuations.active)))
+	}
 	l.publish()
 }
 
--- a/entry/anvilscheduler/messages.go
+++ b/entry/anvilscheduler/messages.go
@@ -8,10 +8,12 @@
 // message is posted to the loop, which calls deliver on its own goroutine.
 type message interface{ deliver(l *Loop) }
 
-// policyRead is the result of a read of the configuration; since is when the read was sent.
+// policyRead is the result of a read of the configuration; since is a time from which on it was the newest. complete says that the page
+// lacks no change up to its version.
 type policyRead struct {
-	page  anvilstorage.PolicyPage
-	since anvilclock.Millis
+	page     anvilstorage.PolicyPage
+	since    anvilclock.Millis
+	complete bool
 }
 
 // statesRead is the result of a read of the states of jobs: all of them if full, else the changes.
--- a/entry/anvilscheduler/watch.go
+++ b/entry/anvilscheduler/watch.go
@@ -137,29 +137,17 @@
 	return wait + answerTimeout
 }
 
-// watchPolicy follows the configuration. Every answer confirms the version in force, also one without a change. After a failed
-// read it reads the newest version alone: the feed lists every version since the last read, so its answer would be longer than the
-// one that has just failed.
+// watchPolicy follows the configuration, through another instance or in the store. Every answer confirms the version in force, also one
+// without a change.
 func (l *Loop) watchPolicy(ctx context.Context) {
-	limits, confirmed := evacuations{bound: l.evacuations.bound}, l.clock.Now()
-	behind := false
+	source := newPolicySource(l)
 	l.followFeed(ctx, "configuration", 0, fixedInterval(policyFeedInterval), func(after int64) (int64, error) {
-		if behind {
-			after = 0
-		}
-		since := l.clock.Now()
-		wait, timeout := limits.policyReadLimits(after, since-confirmed)
-		call, cancel := withTimeout(ctx, timeout)
-		defer cancel()
-		page, err := l.registry.Policy(call, after, wait)
-		if behind = err != nil; behind {
+		page, since, err := source.read(ctx, after)
+		if err != nil {
 			return 0, err
 		}
-		// The answer shows the configuration at the time when the store sent it. That time is not known, but it is not
-		// before the call.
-		confirmed = since
-		l.post(policyRead{page: page, since: since})
-		return page.Version(), nil
+		l.post(policyRead{page: page, since: since, complete: true})
+		return max(page.Version(), after), nil
 	})
 }
 
--- a/entry/anvilstorage/tx.go
+++ b/entry/anvilstorage/tx.go
@@ -232,6 +232,8 @@
 	rowVersion  int64
 	version     int64
 	sent        anvilclock.Millis
+	document    []byte
+	changes     int
 	evacuations *anvilevacuation.Page
 }
 
@@ -247,6 +249,25 @@
 // RowVersion returns the version of the configuration's row, for Tx.ExpectPolicy; 0 when Policy is nil.
 func (p PolicyPage) RowVersion() int64 { return p.rowVersion }
 
+// WithDocument returns a copy of the page with the text from which the configuration was decoded, for other instances. It keeps the
+// slice.
+func (p PolicyPage) WithDocument(text []byte) PolicyPage {
+	p.document = text
+	return p
+}
+
+// Document returns the text from which the configuration was decoded; nil when it isn't known. The caller must not change it.
+func (p PolicyPage) Document() []byte { return p.document }
+
+// WithChanges returns a copy of the page with the number of versions of the configuration that the answer listed.
+func (p PolicyPage) WithChanges(n int) PolicyPage {
+	p.changes = n
+	return p
+}
+
+// Changes returns the number of versions that the answer listed, each of them whole.
+func (p PolicyPage) Changes() int { return p.changes }
+
 // SentAt returns a copy of the page with the local time at which the call that read it was sent.
 func (p PolicyPage) SentAt(t anvilclock.Millis) PolicyPage {
 	p.sent = t
--- a/lib/anvilevent/event.go
+++ b/lib/anvilevent/event.go
@@ -153,6 +153,7 @@
 	StartsHeld          ID = 6512
 	StartsResumed       ID = 6513
 	StoreTraffic        ID = 6514
+	RelayFailed         ID = 6515
 	ProcessStarted      ID = 6601
 	ProcessLeaving      ID = 6602
 	ProcessStopped      ID = 6603
@@ -280,6 +281,7 @@
 	{StartsHeld, "starts held", "The leader sends no starts, because its knowledge of evacuations is too old."},
 	{StartsResumed, "starts resumed", "The leader knows the evacuations again, or is no longer leader."},
 	{StoreTraffic, "store traffic", "Every 5 s: for each kind of call of the store, the calls, those that failed, and the bytes sent and received."},
+	{RelayFailed, "relay failed", "An instance did not give this one the configuration, which is read from another one or from the store."},
 	{ProcessStarted, "process started", "The process accepts calls."},
 	{ProcessLeaving, "process leaving", "The process was asked to stop."},
 	{ProcessStopped, "process stopped", "The process ends."},
