anvilrelay: read and give the configuration in a package of its own

The tree, the reader and the relay were part of anvilscheduler, the largest package; the loop only uses them now, through small interfaces. What the next read of the store returns is a chart of the reader.

--- a/entry/anvilintake/regions_test.go
+++ b/entry/anvilintake/regions_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"anvilhold.org/entry/anvilintake"
+	"anvilhold.org/entry/anvilrelay"
 	"anvilhold.org/entry/anvilscheduler"
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilclock"
@@ -116,8 +117,8 @@
 	return s.configs[len(s.configs)-1]
 }
 
-// conflict returns the error of a transaction whose conditions don't hold, or nil. The caller holds mu.
-func (s *fleetStore) conflict(tx *anvilstorage.Tx) (error, int) {
+// conflict returns the error of a transaction whose conditions don't hold, or nil, and the bytes of its answer. The caller holds mu.
+func (s *fleetStore) conflict(tx *anvilstorage.Tx) (size int, err error) {
 	var rows []anvilstorage.Row
 	failed := false
 	for _, want := range tx.Expects() {
@@ -126,22 +127,22 @@
 		rows = append(rows, r)
 	}
 	var page *anvilstorage.PolicyPage
-	size := smallBytes
+	size = smallBytes
 	if v := tx.PolicyRowVersion(); v != 0 {
 		p := s.newestConfig()
 		failed = failed || p.RowVersion() != v
 		page, size = &p, configRowBytes
 	}
 	if !failed {
-		return nil, 0
+		return 0, nil
 	}
-	return anvilstorage.NewConflict(rows, page), size
+	return size, anvilstorage.NewConflict(rows, page)
 }
 
 func (s *fleetStore) commit(tx *anvilstorage.Tx) (anvilstorage.Receipt, int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err, size := s.conflict(tx); err != nil {
+	if size, err := s.conflict(tx); err != nil {
 		return anvilstorage.Receipt{}, size, err
 	}
 	v := s.bump()
@@ -407,12 +408,12 @@
 	region string
 }
 
-func (p policyPeers) Policy(ctx context.Context, addr string, q anvilscheduler.PolicyQuery) (anvilscheduler.PolicyShare, error) {
+func (p policyPeers) Policy(ctx context.Context, addr string, q anvilrelay.Query) (anvilrelay.Share, error) {
 	if how, ok := p.fleet.failing.Load(addr); ok {
 		if how == silent {
 			<-ctx.Done()
 		}
-		return anvilscheduler.PolicyShare{}, errSimulatedStore
+		return anvilrelay.Share{}, errSimulatedStore
 	}
 	in := p.fleet.byAddr[addr]
 	delay := nearDelay
@@ -420,7 +421,7 @@
 		delay = farDelay
 	}
 	if err := pause(ctx, delay); err != nil {
-		return anvilscheduler.PolicyShare{}, err
+		return anvilrelay.Share{}, err
 	}
 	share, err := in.loop.Policy(ctx, q)
 	if err == nil && in.region != p.region {
@@ -452,7 +453,7 @@
 	time.Sleep(5 * time.Second)
 	synctest.Wait()
 	for _, in := range f.instances {
-		assertAnswer(t, f, in, "/q1/", "key-0", anvilintake.Answered)
+		assertAnswer(t, in, "/q1/", "key-0", anvilintake.Answered)
 	}
 	return f
 }
@@ -503,19 +504,19 @@
 	return anvilpolicy.New(version, out, anvilpolicy.WithTeams(anvilpolicy.NewTeam("team", 1, anvilsize.Size{}, []string{key})))
 }
 
-func assertAnswer(t *testing.T, _ *fleet, in *instance, path, key string, want anvilintake.Result) {
+func assertAnswer(t *testing.T, in *instance, path, key string, want anvilintake.Result) {
 	t.Helper()
 	if got := in.intake.Waiting(anvilintake.NewCall("h", path, key)); got.Result() != want {
 		t.Fatalf("%s in %s: %s: got %s (%s), want %s", in.addr, in.region, path, got.Result(), got.Reason(), want)
 	}
 }
 
-// series changes the configuration count times: each version has a queue more than the one before.
-func (f *fleet) series(count int, gap time.Duration, acked func(version int64, at time.Time)) {
-	for v := int64(2); v <= int64(count)+1; v++ {
+// series changes the configuration, changes times: each version has a queue more than the one before.
+func (f *fleet) series(acked func(version int64, at time.Time)) {
+	for v := int64(2); v <= changes+1; v++ {
 		f.store.setConfig(simulatedPolicy(v, int(v), "key-0"))
 		acked(v, time.Now())
-		time.Sleep(gap)
+		time.Sleep(changeGap)
 	}
 }
 
@@ -621,7 +622,7 @@
 				f := startFleet(t, c.instances, c.mbits)
 				defer f.stop()
 				var acked ackedVersions
-				go f.series(changes, changeGap, acked.add)
+				go f.series(acked.add)
 				f.load(t, (changes+10)*changeGap, &acked).assertServed(t, 0.95)
 			})
 		})
@@ -635,7 +636,7 @@
 			f := startFleet(t, instances, 60)
 			defer f.stop()
 			before := f.link.carried()
-			f.series(changes, changeGap, func(int64, time.Time) {})
+			f.series(func(int64, time.Time) {})
 			time.Sleep(configBound)
 			perChange = (f.link.carried() - before) / changes
 		})
@@ -663,11 +664,11 @@
 			}
 		}
 		setDown(true)
-		f.series(changes, changeGap, acked.add)
+		f.series(acked.add)
 		setDown(false)
 		time.Sleep(configBound)
 		for _, in := range f.in("far") {
-			assertAnswer(t, f, in, fmt.Sprintf("/q%d/", changes+1), "key-0", anvilintake.Answered)
+			assertAnswer(t, in, fmt.Sprintf("/q%d/", changes+1), "key-0", anvilintake.Answered)
 		}
 	})
 }
@@ -692,13 +693,13 @@
 				for _, addr := range []string{"10.0.0.1:7", "10.0.0.10:7", "10.0.0.11:7", "10.0.0.12:7"} {
 					f.failing.Store(addr, how)
 				}
-				go f.series(changes, changeGap, func(int64, time.Time) {})
+				go f.series(func(int64, time.Time) {})
 				for range (changes + 10) * changeGap / (100 * time.Millisecond) {
 					time.Sleep(100 * time.Millisecond)
 					f.assertConfirmed(t, 2500)
 				}
 				for _, in := range f.instances {
-					assertAnswer(t, f, in, fmt.Sprintf("/q%d/", changes+1), "key-0", anvilintake.Answered)
+					assertAnswer(t, in, fmt.Sprintf("/q%d/", changes+1), "key-0", anvilintake.Answered)
 				}
 			})
 		})
--- a/entry/anvillink/link_test.go
+++ b/entry/anvillink/link_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"anvilhold.org/entry/anvilintake"
+	"anvilhold.org/entry/anvilrelay"
 	"anvilhold.org/entry/anvilscheduler"
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilclock"
@@ -47,11 +48,11 @@
 	return anvilstorage.NewPage([]anvilstorage.Row{anvilstorage.ReadRow(anvilstorage.States, "j1", []byte("v"), after+1, false)}, after+2, 0), nil
 }
 
-func (control) Policy(_ context.Context, q anvilscheduler.PolicyQuery) (anvilscheduler.PolicyShare, error) {
+func (control) Policy(_ context.Context, q anvilrelay.Query) (anvilrelay.Share, error) {
 	if q.Mark() == 0 {
-		return anvilscheduler.PolicyShare{}, errors.New("not confirmed")
+		return anvilrelay.Share{}, errors.New("not confirmed")
 	}
-	s := anvilscheduler.NewPolicyShare(90, q.Mark()+1, -30, []string{"d2"})
+	s := anvilrelay.NewShare(90, q.Mark()+1, -30, []string{"d2"})
 	if q.RowVersion() == 8 {
 		return s, nil
 	}
@@ -285,14 +286,14 @@
 }
 
 func TestPolicy(t *testing.T) {
-	query := func(row, mark int64) anvilscheduler.PolicyQuery { return anvilscheduler.NewPolicyQuery(row, mark, 50) }
+	query := func(row, mark int64) anvilrelay.Query { return anvilrelay.NewQuery(row, mark, 50) }
 	t.Run("a newer configuration", func(t *testing.T) {
 		// Guards against a share that loses a part on the way.
 		got, err := newLinks(t).Policy(t.Context(), serve(t, advisor{}, control{}), query(7, 4))
 		if err != nil {
 			t.Fatal(err)
 		}
-		want := anvilscheduler.NewPolicyShare(90, 5, -30, []string{"d2"}).WithDocument(8, 7, []byte("difference"))
+		want := anvilrelay.NewShare(90, 5, -30, []string{"d2"}).WithDocument(8, 7, []byte("difference"))
 		if fmt.Sprint(got) != fmt.Sprint(want) {
 			t.Fatalf("got %v, want %v", got, want)
 		}
--- a/entry/anvillink/server.go
+++ b/entry/anvillink/server.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	"anvilhold.org/entry/anvilintake"
+	"anvilhold.org/entry/anvilrelay"
 	"anvilhold.org/entry/anvilscheduler"
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anvilclock"
@@ -40,7 +41,7 @@
 	StoreReplyAge() anvilclock.Millis
 	ConfirmOutage(token int64) bool
 	States(after int64) (anvilstorage.Page, error)
-	Policy(ctx context.Context, q anvilscheduler.PolicyQuery) (anvilscheduler.PolicyShare, error)
+	Policy(ctx context.Context, q anvilrelay.Query) (anvilrelay.Share, error)
 	LeadershipEnded(token int64)
 }
 
@@ -135,7 +136,7 @@
 
 // Config implements LinkServer. It blocks until there is something newer than the caller has, or its wait is over.
 func (h *handler) Config(ctx context.Context, m *Wanted) (*Shown, error) {
-	s, err := h.control.Policy(ctx, anvilscheduler.NewPolicyQuery(m.GetRow(), m.GetMark(), anvilclock.Millis(m.GetWait())))
+	s, err := h.control.Policy(ctx, anvilrelay.NewQuery(m.GetRow(), m.GetMark(), anvilclock.Millis(m.GetWait())))
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"anvilhold.org/entry/anvilrelay"
 	"anvilhold.org/entry/anvilstorage"
 	"anvilhold.org/lib/anviladmission"
 	"anvilhold.org/lib/anvilclock"
@@ -74,18 +75,18 @@
 	notifier    Notifier
 	peers       Peers
 	witnesses   Witnesses
-	// policyPeers is nil when this instance reads the configuration from the store only. regions maps failure domains to regions.
-	policyPeers  PolicyPeers
-	policyParser PolicyParser
-	regions      map[string]string
-	relay        *policyRelay
-	clock        anvilclock.Clock
-	log          *anvilevent.Log
-	check        *anvilinvariant.Checker
-	meter        Meter
-	charts       *charts
-	inbox        chan message
-	view         atomic.Pointer[View]
+	// policyReader reads the configuration and relay gives it to other instances. regions maps failure domains to regions.
+	policyReader  *anvilrelay.Reader
+	readerOptions []anvilrelay.Option
+	relay         *anvilrelay.Relay
+	regions       map[string]string
+	clock         anvilclock.Clock
+	log           *anvilevent.Log
+	check         *anvilinvariant.Checker
+	meter         Meter
+	charts        *charts
+	inbox         chan message
+	view          atomic.Pointer[View]
 	// isLeader reports to traffic goroutines whether this instance is the leader, and leaderToken its token, or 0.
 	isLeader    atomic.Bool
 	leaderToken atomic.Int64
@@ -229,7 +230,7 @@
 	l := &Loop{
 		self: self, store: s, registry: r, workers: w, advisors: a, clock: anvilclock.NewBoot(),
 		log: &anvilevent.Log{}, check: anvilinvariant.New(), meter: noMeter{}, notifier: noNotifier{}, locality: anvillocality.New(0),
-		inbox: make(chan message, inboxSize), directory: NewDirectory(), relay: newPolicyRelay(), ctx: context.Background(),
+		inbox: make(chan message, inboxSize), directory: NewDirectory(), ctx: context.Background(),
 		spawn:        func(f func()) { go f() },
 		after:        func(d anvilclock.Millis, f func()) { time.AfterFunc(d.Duration(), f) },
 		pollRequests: make(chan struct{}, 1),
@@ -246,6 +247,12 @@
 	if err := l.loadCharts(); err != nil {
 		return nil, err
 	}
+	var err error
+	fleet := policyFleet{loop: l, limits: evacuations{bound: l.evacuations.bound}}
+	if l.policyReader, err = anvilrelay.NewReader(l.registry, fleet, l.clock, l.log, l.meter, l.readerOptions...); err != nil {
+		return nil, err
+	}
+	l.relay = anvilrelay.NewRelay(l.clock)
 	l.pollInterval.Store(int64(pollInterval))
 	// An earlier process at this address may have confirmed extensions.
 	l.witness.until = l.clock.Now() + outageConfirmation
@@ -421,7 +428,7 @@
 	c := &l.state
 	if p := m.page.Policy(); p != nil && (c.policy == nil || p.Version() > c.policy.Version()) {
 		c.policy, c.policyRowVersion, c.document = p, m.page.RowVersion(), m.page.Document()
-		l.relay.add(c.policyRowVersion, c.document)
+		l.relay.Add(c.policyRowVersion, c.document)
 		l.log.Record(anvilevent.PolicyApplied, "version", p.Version(), "row", c.policyRowVersion, "took", int64(l.clock.Now()-m.since))
 		l.requestPass()
 	}
@@ -432,7 +439,7 @@
 		l.applyEvacuations(e, m.since)
 	}
 	if m.complete {
-		l.relay.confirm(m.since, m.page.Version(), slices.Sorted(maps.Keys(l.evacuations.active)))
+		l.relay.Confirm(m.since, m.page.Version(), slices.Sorted(maps.Keys(l.evacuations.active)))
 	}
 	l.publish()
 }
--- a/entry/anvilscheduler/watch.go
+++ b/entry/anvilscheduler/watch.go
@@ -137,20 +137,6 @@
 	return wait + answerTimeout
 }
 
-// watchPolicy follows the configuration, through another instance or in the store. Every answer confirms the version in force, also one
-// without a change.
-func (l *Loop) watchPolicy(ctx context.Context) {
-	source := newPolicySource(l)
-	l.followFeed(ctx, "configuration", 0, fixedInterval(policyFeedInterval), func(after int64) (int64, error) {
-		page, since, err := source.read(ctx, after)
-		if err != nil {
-			return 0, err
-		}
-		l.post(policyRead{page: page, since: since, complete: true})
-		return max(page.Version(), after), nil
-	})
-}
-
 // watchLeadership reads the leadership row while this instance is a follower.
 func (l *Loop) watchLeadership(ctx context.Context) {
 	tracker := l.trackOutage("tenure")
