--- a/entry/anvilintake/regions_test.go
+++ b/entry/anvilintake/regions_test.go
@@ -408,12 +408,12 @@
 	region string
 }
 
-func (p policyPeers) Policy(ctx context.Context, addr string, q anvilrelay.Query) (anvilrelay.Share, error) {
+func (p policyPeers) Policy(ctx context.Context, addr string, q anvilrelay.Query) (anvilrelay.Update, error) {
 	if how, ok := p.fleet.failing.Load(addr); ok {
 		if how == silent {
 			<-ctx.Done()
 		}
-		return anvilrelay.Share{}, errSimulatedStore
+		return anvilrelay.Update{}, errSimulatedStore
 	}
 	in := p.fleet.byAddr[addr]
 	delay := nearDelay
@@ -421,16 +421,16 @@
 		delay = farDelay
 	}
 	if err := pause(ctx, delay); err != nil {
-		return anvilrelay.Share{}, err
+		return anvilrelay.Update{}, err
 	}
-	share, err := in.loop.Policy(ctx, q)
+	update, err := in.loop.Policy(ctx, q)
 	if err == nil && in.region != p.region {
-		err = p.fleet.link.carry(ctx, smallBytes+len(share.Difference()))
+		err = p.fleet.link.carry(ctx, smallBytes+len(update.Difference()))
 	}
 	if err == nil {
 		err = pause(ctx, delay)
 	}
-	return share, err
+	return update, err
 }
 
 // startFleet starts instances in both regions, half of them in each, and waits until they know the configuration.
--- a/entry/anvillink/client.go
+++ b/entry/anvillink/client.go
@@ -165,10 +165,10 @@
 
 // Policy returns what the instance at addr knows of the operator's configuration, once it is newer than the query names or the query's
 // wait is over. It fails when that instance has not confirmed it recently.
-func (l *Links) Policy(ctx context.Context, addr string, q anvilrelay.Query) (anvilrelay.Share, error) {
+func (l *Links) Policy(ctx context.Context, addr string, q anvilrelay.Query) (anvilrelay.Update, error) {
 	conn, err := l.connection(addr)
 	if err != nil {
-		return anvilrelay.Share{}, err
+		return anvilrelay.Update{}, err
 	}
 	in := &Wanted{}
 	in.SetRow(q.RowVersion())
@@ -176,9 +176,9 @@
 	in.SetWait(int64(q.Wait()))
 	out, err := NewLinkClient(conn).Config(ctx, in)
 	if err != nil {
-		return anvilrelay.Share{}, err
+		return anvilrelay.Update{}, err
 	}
-	s := anvilrelay.NewShare(out.GetVersion(), out.GetMark(), anvilclock.Millis(out.GetLead()), out.GetEvacuated())
+	s := anvilrelay.NewUpdate(out.GetVersion(), out.GetMark(), anvilclock.Millis(out.GetLead()), out.GetEvacuated())
 	if len(out.GetText()) > 0 {
 		s = s.WithDocument(out.GetRow(), out.GetBase(), out.GetText())
 	}
--- a/entry/anvillink/link_test.go
+++ b/entry/anvillink/link_test.go
@@ -48,11 +48,11 @@
 	return anvilstorage.NewPage([]anvilstorage.Row{anvilstorage.ReadRow(anvilstorage.States, "j1", []byte("v"), after+1, false)}, after+2, 0), nil
 }
 
-func (control) Policy(_ context.Context, q anvilrelay.Query) (anvilrelay.Share, error) {
+func (control) Policy(_ context.Context, q anvilrelay.Query) (anvilrelay.Update, error) {
 	if q.Mark() == 0 {
-		return anvilrelay.Share{}, errors.New("not confirmed")
+		return anvilrelay.Update{}, errors.New("not confirmed")
 	}
-	s := anvilrelay.NewShare(90, q.Mark()+1, -30, []string{"d2"})
+	s := anvilrelay.NewUpdate(90, q.Mark()+1, -30, []string{"d2"})
 	if q.RowVersion() == 8 {
 		return s, nil
 	}
@@ -288,12 +288,12 @@
 func TestPolicy(t *testing.T) {
 	query := func(row, mark int64) anvilrelay.Query { return anvilrelay.NewQuery(row, mark, 50) }
 	t.Run("a newer configuration", func(t *testing.T) {
-		// Guards against a share that loses a part on the way.
+		// Guards against an update that loses a part on the way.
 		got, err := newLinks(t).Policy(t.Context(), serve(t, advisor{}, control{}), query(7, 4))
 		if err != nil {
 			t.Fatal(err)
 		}
-		want := anvilrelay.NewShare(90, 5, -30, []string{"d2"}).WithDocument(8, 7, []byte("difference"))
+		want := anvilrelay.NewUpdate(90, 5, -30, []string{"d2"}).WithDocument(8, 7, []byte("difference"))
 		if fmt.Sprint(got) != fmt.Sprint(want) {
 			t.Fatalf("got %v, want %v", got, want)
 		}
@@ -306,7 +306,7 @@
 		}
 	})
 	t.Run("no recent confirmation", func(t *testing.T) {
-		// Guards against a share of an instance that may lack changes.
+		// Guards against an update of an instance that may lack changes.
 		if _, err := newLinks(t).Policy(t.Context(), serve(t, advisor{}, control{}), query(8, 0)); err == nil {
 			t.Fatal("no error")
 		}
--- a/entry/anvillink/server.go
+++ b/entry/anvillink/server.go
@@ -41,7 +41,7 @@
 	StoreReplyAge() anvilclock.Millis
 	ConfirmOutage(token int64) bool
 	States(after int64) (anvilstorage.Page, error)
-	Policy(ctx context.Context, q anvilrelay.Query) (anvilrelay.Share, error)
+	Policy(ctx context.Context, q anvilrelay.Query) (anvilrelay.Update, error)
 	LeadershipEnded(token int64)
 }
 
--- a/entry/anvilrelay/reader.go
+++ b/entry/anvilrelay/reader.go
@@ -23,7 +23,7 @@
 // Peers asks other instances. It must be safe for concurrent use.
 type Peers interface {
 	// Policy returns what the instance at an address knows, once there is something newer than the query names or its wait is over.
-	Policy(ctx context.Context, addr string, q Query) (Share, error)
+	Policy(ctx context.Context, addr string, q Query) (Update, error)
 }
 
 // Parser decodes the configuration's text.
@@ -74,7 +74,7 @@
 	// confirmed is when the newest configuration that was read was the newest.
 	confirmed    anvilclock.Millis
 	backoffUntil map[string]anvilclock.Millis
-	// marks are those of the last shares, by the addresses of the instances that sent them.
+	// marks are those of the last updates, by the addresses of the instances that sent them.
 	marks map[string]int64
 }
 
@@ -172,7 +172,7 @@
 	return page, nil
 }
 
-// Reasons why a share is dropped.
+// Reasons why an update is dropped.
 var (
 	errNoBase = errors.New("the configuration is the difference from a version that this instance doesn't have")
 	errAhead  = errors.New("the confirmation is later than the answer")
@@ -184,41 +184,41 @@
 	rowVersion, document := r.fleet.Known()
 	ctx, cancel := context.WithTimeout(ctx, (maxWait + answerTimeout).Duration())
 	defer cancel()
-	share, err := r.peers.Policy(ctx, addr, NewQuery(rowVersion, r.marks[addr], maxWait))
+	update, err := r.peers.Policy(ctx, addr, NewQuery(rowVersion, r.marks[addr], maxWait))
 	if err != nil {
 		return anvilstorage.PolicyPage{}, 0, err
 	}
-	if share.Lead() > r.clock.Now()-sent {
+	if update.Lead() > r.clock.Now()-sent {
 		return anvilstorage.PolicyPage{}, 0, errAhead
 	}
-	page := anvilstorage.NewPolicyPage(nil, 0, share.Version())
-	if share.Difference() != nil {
-		if page, err = r.decode(share, rowVersion, document); err != nil {
+	page := anvilstorage.NewPolicyPage(nil, 0, update.Version())
+	if update.Difference() != nil {
+		if page, err = r.decode(update, rowVersion, document); err != nil {
 			return anvilstorage.PolicyPage{}, 0, err
 		}
 	}
-	r.marks[addr] = share.Mark()
-	since := sent + share.Lead()
-	if share.Version() < after {
+	r.marks[addr] = update.Mark()
+	since := sent + update.Lead()
+	if update.Version() < after {
 		// This instance knows newer requests for evacuations.
 		return page, since, nil
 	}
-	requests := make([]anvilevacuation.Change, 0, len(share.Evacuated()))
-	for _, domain := range share.Evacuated() {
+	requests := make([]anvilevacuation.Change, 0, len(update.Evacuated()))
+	for _, domain := range update.Evacuated() {
 		requests = append(requests, anvilevacuation.Request(domain))
 	}
 	return page.WithEvacuations(anvilevacuation.NewFullPage(requests)), since, nil
 }
 
-// decode decodes the configuration of a share for an instance that has the one of a row's version.
-func (r *Reader) decode(share Share, rowVersion int64, document []byte) (anvilstorage.PolicyPage, error) {
+// decode decodes the configuration of an update for an instance that has the one of a row's version.
+func (r *Reader) decode(update Update, rowVersion int64, document []byte) (anvilstorage.PolicyPage, error) {
 	var base []byte
-	if share.Base() != 0 {
-		if base = document; share.Base() != rowVersion || base == nil {
+	if update.Base() != 0 {
+		if base = document; update.Base() != rowVersion || base == nil {
 			return anvilstorage.PolicyPage{}, errNoBase
 		}
 	}
-	text, err := anvildelta.Decode(base, share.Difference())
+	text, err := anvildelta.Decode(base, update.Difference())
 	if err != nil {
 		return anvilstorage.PolicyPage{}, err
 	}
@@ -226,5 +226,5 @@
 	if err != nil {
 		return anvilstorage.PolicyPage{}, err
 	}
-	return anvilstorage.NewPolicyPage(policy, share.RowVersion(), share.Version()).WithDocument(text), nil
+	return anvilstorage.NewPolicyPage(policy, update.RowVersion(), update.Version()).WithDocument(text), nil
 }
--- a/entry/anvilrelay/reader_test.go
+++ b/entry/anvilrelay/reader_test.go
@@ -31,11 +31,11 @@
 // document returns the text of a version, which is as long as its number.
 func document(version int64) []byte { return make([]byte, version) }
 
-// fakes are what a reader uses. Instances answer with shares, by their addresses, and the store with page.
+// fakes are what a reader uses. Instances answer with updates, by their addresses, and the store with page.
 type fakes struct {
-	clock  *anvilclock.Manual
-	shares map[string]Share
-	asked  []string
+	clock   *anvilclock.Manual
+	updates map[string]Update
+	asked   []string
 	// onQuery, when set, is called by each query.
 	onQuery func()
 	page    anvilstorage.PolicyPage
@@ -48,15 +48,15 @@
 // peers makes the fakes answer as other instances, whose method has the name of the store's.
 type peers struct{ *fakes }
 
-func (p peers) Policy(_ context.Context, addr string, _ Query) (Share, error) {
+func (p peers) Policy(_ context.Context, addr string, _ Query) (Update, error) {
 	p.asked = append(p.asked, addr)
 	if p.onQuery != nil {
 		p.onQuery()
 	}
-	if s, ok := p.shares[addr]; ok {
+	if s, ok := p.updates[addr]; ok {
 		return s, nil
 	}
-	return Share{}, errors.New("no answer")
+	return Update{}, errors.New("no answer")
 }
 
 func (f *fakes) Policy(_ context.Context, after int64, wait anvilclock.Millis) (anvilstorage.PolicyPage, error) {
@@ -89,7 +89,7 @@
 // newReader returns a reader that has read the store once, and its fakes.
 func newReader(t *testing.T) (*Reader, *fakes) {
 	t.Helper()
-	f := &fakes{clock: anvilclock.NewManual(10_000), shares: map[string]Share{}, page: stored(knownVersion, 1)}
+	f := &fakes{clock: anvilclock.NewManual(10_000), updates: map[string]Update{}, page: stored(knownVersion, 1)}
 	r, err := NewReader(f, f, f.clock, &anvilevent.Log{}, f, WithPeers(peers{f}, f))
 	if err != nil {
 		t.Fatal(err)
@@ -106,15 +106,15 @@
 	return anvilstorage.NewPolicyPage(anvilpolicy.New(version, nil), 45, cursor).WithDocument(document(version)).WithChanges(changes)
 }
 
-// shared returns a share with a version, as the difference from a row's version that has the text base. It was confirmed 100 ms before
+// updated returns an update with a version, as the difference from a row's version that has the text base. It was confirmed 100 ms before
 // the query arrived.
-func shared(t *testing.T, version, from int64, base []byte) Share {
+func updated(t *testing.T, version, from int64, base []byte) Update {
 	t.Helper()
 	difference, err := anvildelta.Encode(base, document(version))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return NewShare(60, 7, -100, nil).WithDocument(55, from, difference)
+	return NewUpdate(60, 7, -100, nil).WithDocument(55, from, difference)
 }
 
 // assertRead reads once and checks the version, and when it was the newest.
@@ -137,7 +137,7 @@
 	t.Run("a difference", func(t *testing.T) {
 		// Guards against a configuration that counts as younger than it is.
 		r, f := newReader(t)
-		f.shares[parent] = shared(t, 5, knownRow, document(knownVersion))
+		f.updates[parent] = updated(t, 5, knownRow, document(knownVersion))
 		f.onQuery = func() { f.clock.Advance(400) }
 		assertRead(t, r, 5, 9_900)
 		f.assertCalls(t, []string{parent})
@@ -145,7 +145,7 @@
 	t.Run("another one when it fails", func(t *testing.T) {
 		// Guards against instances that all read from the store when the one that they ask is gone.
 		r, f := newReader(t)
-		f.shares[grandparent] = shared(t, 5, 0, nil)
+		f.updates[grandparent] = updated(t, 5, 0, nil)
 		assertRead(t, r, 5, 9_900)
 		assertRead(t, r, 5, 9_900)
 		f.assertCalls(t, []string{parent, grandparent, grandparent})
@@ -159,7 +159,7 @@
 		f.assertCalls(t, []string{parent, grandparent}, 0, cursor)
 		f.clock.Advance(backoff)
 		assertRead(t, r, 4, 13_000)
-		f.shares[parent] = shared(t, 5, 0, nil)
+		f.updates[parent] = updated(t, 5, 0, nil)
 		assertRead(t, r, 5, 12_900)
 		f.assertCalls(t, []string{parent, grandparent, parent}, 0, cursor, cursor)
 	})
@@ -202,20 +202,20 @@
 	})
 }
 
-func TestDroppedShares(t *testing.T) {
-	for name, s := range map[string]Share{
-		"from another version":     shared(t, 5, knownRow-1, document(2)),
-		"from another text":        shared(t, 500, knownRow, document(300)),
-		"that is cut off":          NewShare(60, 7, 0, nil).WithDocument(55, 0, shared(t, 500, 0, nil).Difference()[:9]),
-		"that can't be decoded":    shared(t, 0, 0, nil),
-		"confirmed in the future":  NewShare(60, 7, 1, nil),
-		"in an unknown encoding":   NewShare(60, 7, 0, nil).WithDocument(55, 0, []byte("{}")),
-		"in an encoding that ends": NewShare(60, 7, 0, nil).WithDocument(55, 0, []byte{}),
+func TestDroppedUpdates(t *testing.T) {
+	for name, s := range map[string]Update{
+		"from another version":     updated(t, 5, knownRow-1, document(2)),
+		"from another text":        updated(t, 500, knownRow, document(300)),
+		"that is cut off":          NewUpdate(60, 7, 0, nil).WithDocument(55, 0, updated(t, 500, 0, nil).Difference()[:9]),
+		"that can't be decoded":    updated(t, 0, 0, nil),
+		"confirmed in the future":  NewUpdate(60, 7, 1, nil),
+		"in an unknown encoding":   NewUpdate(60, 7, 0, nil).WithDocument(55, 0, []byte("{}")),
+		"in an encoding that ends": NewUpdate(60, 7, 0, nil).WithDocument(55, 0, []byte{}),
 	} {
 		t.Run(name, func(t *testing.T) {
 			// Guards against a configuration that the store never had, or that counts as confirmed too late.
 			r, f := newReader(t)
-			f.shares[parent] = s
+			f.updates[parent] = s
 			assertRead(t, r, knownVersion, 10_000)
 			f.assertCalls(t, []string{parent, grandparent}, 0)
 		})
@@ -223,10 +223,10 @@
 }
 
 // Guards against an evacuation that an instance forgets because the one that it asks hasn't heard of it.
-func TestEvacuationsOfOlderShare(t *testing.T) {
+func TestEvacuationsOfOlderUpdate(t *testing.T) {
 	for version, want := range map[int64]bool{cursor - 1: false, cursor: true, cursor + 1: true} {
 		r, f := newReader(t)
-		f.shares[parent] = NewShare(version, 7, 0, nil)
+		f.updates[parent] = NewUpdate(version, 7, 0, nil)
 		page, _, err := r.Read(t.Context(), cursor)
 		assertEqual(t, "error", err, nil)
 		assertEqual(t, "evacuations are taken", page.Evacuations() != nil, want)
--- a/entry/anvilrelay/relay.go
+++ b/entry/anvilrelay/relay.go
@@ -24,7 +24,7 @@
 	wait       anvilclock.Millis
 }
 
-// NewQuery returns the query of an instance that has the configuration of a row's version, or 0. mark is that of the last share
+// NewQuery returns the query of an instance that has the configuration of a row's version, or 0. mark is that of the last update
 // from the same instance, or 0. The answer may wait for the time wait until there is something newer.
 func NewQuery(rowVersion, mark int64, wait anvilclock.Millis) Query {
 	return Query{rowVersion: rowVersion, mark: mark, wait: wait}
@@ -33,14 +33,14 @@
 // RowVersion returns the version of the row whose configuration the caller has; 0 for none.
 func (q Query) RowVersion() int64 { return q.rowVersion }
 
-// Mark returns the mark of the last share from the same instance; 0 for none.
+// Mark returns the mark of the last update from the same instance; 0 for none.
 func (q Query) Mark() int64 { return q.mark }
 
 // Wait returns how long the answer may wait for something newer.
 func (q Query) Wait() anvilclock.Millis { return q.wait }
 
-// Share is what an instance knows of the operator's configuration, for another instance.
-type Share struct {
+// Update is what an instance knows of the operator's configuration, for another instance.
+type Update struct {
 	rowVersion int64
 	base       int64
 	difference []byte
@@ -50,40 +50,40 @@
 	evacuated  []string
 }
 
-// NewShare returns a share. version is the store's version up to which it is complete, and evacuated are the evacuated failure
+// NewUpdate returns an update. version is the store's version up to which it is complete, and evacuated are the evacuated failure
 // domains. lead is when the configuration was last confirmed, counted from when the request arrived: it is negative before that. mark
 // identifies that confirmation.
-func NewShare(version, mark int64, lead anvilclock.Millis, evacuated []string) Share {
-	return Share{version: version, mark: mark, lead: lead, evacuated: evacuated}
+func NewUpdate(version, mark int64, lead anvilclock.Millis, evacuated []string) Update {
+	return Update{version: version, mark: mark, lead: lead, evacuated: evacuated}
 }
 
-// WithDocument returns a copy of the share with a configuration whose row has a version, as the difference from that of the version
+// WithDocument returns a copy of the update with a configuration whose row has a version, as the difference from that of the version
 // base, or compressed with a base of 0.
-func (s Share) WithDocument(rowVersion, base int64, difference []byte) Share {
-	s.rowVersion, s.base, s.difference = rowVersion, base, difference
-	return s
+func (u Update) WithDocument(rowVersion, base int64, difference []byte) Update {
+	u.rowVersion, u.base, u.difference = rowVersion, base, difference
+	return u
 }
 
 // RowVersion returns the version of the configuration's row; 0 when the receiver has the newest one.
-func (s Share) RowVersion() int64 { return s.rowVersion }
+func (u Update) RowVersion() int64 { return u.rowVersion }
 
 // Base returns the version of the row that the difference is from; 0 for none.
-func (s Share) Base() int64 { return s.base }
+func (u Update) Base() int64 { return u.base }
 
 // Difference returns the encoded configuration; nil when the receiver has the newest one. The caller must not change it.
-func (s Share) Difference() []byte { return s.difference }
+func (u Update) Difference() []byte { return u.difference }
 
-// Version returns the store's version up to which the share is complete.
-func (s Share) Version() int64 { return s.version }
+// Version returns the store's version up to which the update is complete.
+func (u Update) Version() int64 { return u.version }
 
 // Mark identifies the confirmation, for the next query to the same instance.
-func (s Share) Mark() int64 { return s.mark }
+func (u Update) Mark() int64 { return u.mark }
 
 // Lead returns when the configuration was last confirmed, counted from when the request arrived.
-func (s Share) Lead() anvilclock.Millis { return s.lead }
+func (u Update) Lead() anvilclock.Millis { return u.lead }
 
 // Evacuated returns the evacuated failure domains.
-func (s Share) Evacuated() []string { return s.evacuated }
+func (u Update) Evacuated() []string { return u.evacuated }
 
 // Relay holds what an instance gives others of the configuration. It is safe for concurrent use.
 type Relay struct {
@@ -128,37 +128,37 @@
 	r.changed = make(chan struct{})
 }
 
-// share returns the share that answers a query, which arrived at a time, and a channel that is closed when there is something newer.
-func (r *Relay) share(q Query, received anvilclock.Millis) (Share, <-chan struct{}, error) {
+// update returns the update that answers a query, which arrived at a time, and a channel that is closed when there is something newer.
+func (r *Relay) update(q Query, received anvilclock.Millis) (Update, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	newest := r.history.Newest()
 	if newest == 0 || r.version == 0 || r.clock.Now()-r.confirmed > maxAge {
-		return Share{}, r.changed, errStale
+		return Update{}, r.changed, errStale
 	}
-	s := NewShare(r.version, int64(r.confirmed), r.confirmed-received, r.evacuated)
+	u := NewUpdate(r.version, int64(r.confirmed), r.confirmed-received, r.evacuated)
 	if newest <= q.rowVersion {
-		return s, r.changed, nil
+		return u, r.changed, nil
 	}
 	base, difference, err := r.history.Encode(q.rowVersion)
 	if err != nil {
-		return Share{}, r.changed, err
+		return Update{}, r.changed, err
 	}
-	return s.WithDocument(newest, base, difference), r.changed, nil
+	return u.WithDocument(newest, base, difference), r.changed, nil
 }
 
 var errStale = errors.New("the configuration has not been confirmed recently")
 
 // Answer returns what this instance knows of the configuration. It waits until there is something newer than the query names, at most for
 // the query's wait, and fails when the configuration was not confirmed recently.
-func (r *Relay) Answer(ctx context.Context, q Query) (Share, error) {
+func (r *Relay) Answer(ctx context.Context, q Query) (Update, error) {
 	received := r.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, min(q.wait, maxWait).Duration())
 	defer cancel()
 	for {
-		s, changed, err := r.share(q, received)
-		if err != nil || s.difference != nil || s.mark > q.mark || ctx.Err() != nil {
-			return s, err
+		u, changed, err := r.update(q, received)
+		if err != nil || u.difference != nil || u.mark > q.mark || ctx.Err() != nil {
+			return u, err
 		}
 		select {
 		case <-changed:
--- a/entry/anvilrelay/relay_test.go
+++ b/entry/anvilrelay/relay_test.go
@@ -16,7 +16,7 @@
 	return r, clock
 }
 
-func assertShare(t *testing.T, r *Relay, q Query, rows []int64, lead anvilclock.Millis, mark, version int64) {
+func assertUpdate(t *testing.T, r *Relay, q Query, rows []int64, lead anvilclock.Millis, mark, version int64) {
 	t.Helper()
 	s, err := r.Answer(t.Context(), q)
 	assertEqual(t, "error", err, nil)
@@ -33,25 +33,25 @@
 		r, clock := newRelay(t)
 		clock.Advance(100)
 		go r.Add(45, document(4))
-		assertShare(t, r, upToDate, []int64{45, knownRow}, -100, 10_000, cursor)
+		assertUpdate(t, r, upToDate, []int64{45, knownRow}, -100, 10_000, cursor)
 	})
 	t.Run("a newer confirmation", func(t *testing.T) {
 		// Guards against confirmations that get older with each instance on their way.
 		r, _ := newRelay(t)
 		go r.Confirm(10_050, 70, []string{"d2"})
-		assertShare(t, r, upToDate, []int64{0, 0}, 50, 10_050, 70)
+		assertUpdate(t, r, upToDate, []int64{0, 0}, 50, 10_050, 70)
 	})
 	t.Run("nothing newer", func(t *testing.T) {
 		// Guards against a caller that waits for longer than its configuration stays confirmed.
 		r, _ := newRelay(t)
-		assertShare(t, r, NewQuery(knownRow, 10_000, 1), []int64{0, 0}, 0, 10_000, cursor)
+		assertUpdate(t, r, NewQuery(knownRow, 10_000, 1), []int64{0, 0}, 0, 10_000, cursor)
 	})
 	t.Run("an older configuration or confirmation", func(t *testing.T) {
 		// Guards against a version that decreases when answers arrive out of order.
 		r, _ := newRelay(t)
 		r.Add(knownRow-1, document(2))
 		r.Confirm(9_000, cursor-1, []string{"d2"})
-		assertShare(t, r, NewQuery(0, 0, maxWait), []int64{knownRow, 0}, 0, 10_000, cursor)
+		assertUpdate(t, r, NewQuery(0, 0, maxWait), []int64{knownRow, 0}, 0, 10_000, cursor)
 	})
 	t.Run("an old confirmation, or none", func(t *testing.T) {
 		// Guards against an instance without contact to the store that others go on asking.
--- a/entry/anvilscheduler/policyreader.go
+++ b/entry/anvilscheduler/policyreader.go
@@ -17,7 +17,7 @@
 
 // Policy returns what this instance knows of the configuration, for another one. It waits until there is something newer than the query
 // names, and fails when the configuration was not confirmed recently. It is safe for concurrent use.
-func (l *Loop) Policy(ctx context.Context, q anvilrelay.Query) (anvilrelay.Share, error) {
+func (l *Loop) Policy(ctx context.Context, q anvilrelay.Query) (anvilrelay.Update, error) {
 	return l.relay.Answer(ctx, q)
 }
 
