anvilintake: don't count waiting jobs from old states

Intake.Waiting looked at the age of the configuration and not at that of the states, so an instance whose reads of the states failed went on answering. The check alone didn't help: instances read the states from each other, and each counted them from when it got them, so a chain of them kept old states young. The age travels with the states now (Known.age), and a read of the store waits for 1 s in place of 2 s, so that they stay below the bound while nothing happens.

TestWaitingJobsAreNotCountedFromOldStates failed before, without the store for 10 s ('got answered, want refused'), and with the check alone. TestReaderCatchesUpAfterManyChanges asks for a job of the newest queue in place of the count, which now needs the states, too; it still needs a confirmed configuration of the newest version.

--- a/entry/anvilintake/intake.go
+++ b/entry/anvilintake/intake.go
@@ -96,6 +96,9 @@
 	// maxConfigAge bounds the time since the configuration was last confirmed up to which calls are decided by it. A
 	// withdrawn key must stop working within 5 s.
 	maxConfigAge = anvilclock.Millis(3000)
+	// maxWaitingAge is the time since the states of jobs were last read up to which a queue's waiting jobs are counted. A job must
+	// count 5 s after it was accepted.
+	maxWaitingAge = anvilclock.Millis(4000)
 	// commitTimeout bounds one commit. A slow store takes a quarter of a second for it, and up to a second
 	// before that for the transactions ahead of it.
 	commitTimeout = 1400 * time.Millisecond
@@ -439,7 +442,7 @@
 	switch {
 	case rejection != nil:
 		reply = *rejection
-	case !in.configFresh(a.view) || !a.view.Synced():
+	case !in.configFresh(a.view) || !a.view.Synced() || in.control.Clock().Now()-in.control.Directory().ReadAt() > maxWaitingAge:
 		reply = *refuse("the states of jobs can't be confirmed")
 	default:
 		reply = Reply{result: Answered, waiting: in.control.Directory().Waiting(a.queue.Name())}
--- a/entry/anvillink/client.go
+++ b/entry/anvillink/client.go
@@ -160,7 +160,8 @@
 	if err != nil {
 		return anvilstorage.Page{}, err
 	}
-	return anvilstorage.NewPage(parseRows(out.GetRows()), out.GetVersion(), 0), nil
+	page := anvilstorage.NewPage(parseRows(out.GetRows()), out.GetVersion(), 0)
+	return page.WithAge(max(anvilclock.Millis(out.GetAge()), 0)), nil
 }
 
 // Policy returns what the instance at addr knows of the operator's configuration, once it is newer than the query names or the query's
--- a/entry/anvillink/server.go
+++ b/entry/anvillink/server.go
@@ -131,6 +131,7 @@
 	out := &Known{}
 	out.SetRows(encodeRows(page.Rows()))
 	out.SetVersion(page.Version())
+	out.SetAge(int64(page.Age()))
 	return out, nil
 }
 
--- a/entry/anvilscheduler/directory.go
+++ b/entry/anvilscheduler/directory.go
@@ -86,11 +86,18 @@
 	return d.waiting[queue]
 }
 
-// Sync records that all changes up to a version of the store were read at the local time now.
-func (d *Directory) Sync(version int64, now anvilclock.Millis) {
+// Sync records that all changes up to a version of the store were read at a local time.
+func (d *Directory) Sync(version int64, at anvilclock.Millis) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.version, d.readAt = max(d.version, version), now
+	d.version, d.readAt = max(d.version, version), max(d.readAt, at)
+}
+
+// ReadAt returns the local time of the last read that showed up to which version all changes are known; 0 when nothing was read yet.
+func (d *Directory) ReadAt() anvilclock.Millis {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.readAt
 }
 
 // Since returns the states that are newer than a version as new rows, the version up to which they are complete, and
--- a/entry/anvilscheduler/loop.go
+++ b/entry/anvilscheduler/loop.go
@@ -457,7 +457,7 @@
 	if m.full {
 		l.directory.RetainOnly(ids, m.page.Version())
 	}
-	l.directory.Sync(m.page.Version(), l.clock.Now())
+	l.directory.Sync(m.page.Version(), m.readAt)
 	if m.full && !l.state.synced {
 		l.state.synced = true
 		l.publish()
--- a/entry/anvilscheduler/messages.go
+++ b/entry/anvilscheduler/messages.go
@@ -16,10 +16,12 @@
 	complete bool
 }
 
-// statesRead is the result of a read of the states of jobs: all of them if full, else the changes.
+// statesRead is the result of a read of the states of jobs: all of them if full, else the changes. readAt is when they were read from the
+// store, by this instance or the one that it asked.
 type statesRead struct {
-	page anvilstorage.Page
-	full bool
+	page   anvilstorage.Page
+	full   bool
+	readAt anvilclock.Millis
 }
 
 // leadershipRead is the result of a read of the leadership row; since is when the read was sent, and now the store's time, or
--- a/entry/anvilscheduler/tuning.go
+++ b/entry/anvilscheduler/tuning.go
@@ -90,6 +90,8 @@
 	intakeFeedInterval = anvilclock.Millis(100)
 	// feedWait is how long the store may wait for a change before it answers a read of changes.
 	feedWait = anvilclock.Millis(2000)
+	// stateWait replaces feedWait for the states of jobs, whose age must stay below maxStatesAge at an instance that others ask.
+	stateWait = anvilclock.Millis(1000)
 	// policyWait replaces feedWait for the configuration. It is shorter because every answer confirms the version in
 	// force.
 	policyWait = anvilclock.Millis(700)
--- a/entry/anvilscheduler/upstream.go
+++ b/entry/anvilscheduler/upstream.go
@@ -55,10 +55,11 @@
 // has not read the states recently. It is safe for concurrent use.
 func (l *Loop) States(after int64) (anvilstorage.Page, error) {
 	rows, version, read := l.directory.Since(after)
-	if version == 0 || l.clock.Now()-read > maxStatesAge {
+	age := l.clock.Now() - read
+	if version == 0 || age > maxStatesAge {
 		return anvilstorage.Page{}, errStatesStale
 	}
-	return anvilstorage.NewPage(rows, version, 0), nil
+	return anvilstorage.NewPage(rows, version, 0).WithAge(age), nil
 }
 
 var errStatesStale = errors.New("the states of jobs have not been read recently")
@@ -72,6 +73,8 @@
 	// firstReadUntil is the end of firstReadWait; 0 once states were read.
 	firstReadUntil anvilclock.Millis
 	scanTimeout    adaptiveTimeout
+	// readAt is the local time at which the states of the last page were read from the store.
+	readAt anvilclock.Millis
 }
 
 // adaptiveTimeout bounds reads of a whole table. Each failure doubles the time: reads over a congested link would
@@ -102,6 +105,7 @@
 	addr, now := s.upstream(), s.loop.clock.Now()
 	if addr == "" {
 		page, err := s.readStore(ctx, after)
+		s.readAt = s.loop.clock.Now()
 		return page, after == 0, err
 	}
 	if now-s.lastFullRead > fullReadInterval {
@@ -117,6 +121,7 @@
 		return page, false, anvilstorage.NewError(anvilstorage.Refused, err)
 	}
 	s.firstReadUntil = 0
+	s.readAt = now - page.Age()
 	if after == 0 {
 		s.lastFullRead = now
 	}
@@ -125,10 +130,13 @@
 
 // readStore reads the states that are newer than a version from the store.
 func (s *stateSource) readStore(ctx context.Context, after int64) (anvilstorage.Page, error) {
-	page, err := s.loop.readTable(ctx, anvilstorage.States, after, s.scanTimeout.next())
-	if after == 0 {
-		s.scanTimeout.record(err)
+	if after != 0 {
+		ctx, cancel := withTimeout(ctx, pageTimeout(after, stateWait))
+		defer cancel()
+		return s.loop.store.Changes(ctx, anvilstorage.States, after, stateWait)
 	}
+	page, err := s.loop.readTable(ctx, anvilstorage.States, 0, s.scanTimeout.next())
+	s.scanTimeout.record(err)
 	return page, err
 }
 
--- a/entry/anvilscheduler/watch.go
+++ b/entry/anvilscheduler/watch.go
@@ -65,7 +65,7 @@
 		if err != nil {
 			return after, err
 		}
-		l.post(statesRead{page: page, full: full})
+		l.post(statesRead{page: page, full: full, readAt: source.readAt})
 		return max(page.Version(), after), nil
 	})
 }
--- a/entry/anvilstorage/tx.go
+++ b/entry/anvilstorage/tx.go
@@ -210,6 +210,7 @@
 	rows    []Row
 	version int64
 	now     anvilclock.Millis
+	age     anvilclock.Millis
 }
 
 // NewPage returns a page. It does not copy rows.
@@ -226,6 +227,15 @@
 // Now returns the time of the read on the store's steady clock; 0 for rows from another instance.
 func (p Page) Now() anvilclock.Millis { return p.now }
 
+// WithAge returns a copy of the page of another instance, which read its rows from the store so long ago.
+func (p Page) WithAge(age anvilclock.Millis) Page {
+	p.age = age
+	return p
+}
+
+// Age returns how long ago another instance had read the rows when it answered; 0 for rows from the store.
+func (p Page) Age() anvilclock.Millis { return p.age }
+
 // PolicyPage is the result of reading the operator's configuration or waiting for a change of it.
 type PolicyPage struct {
 	policy      *anvilpolicy.Policy
