--- a/entry/anvilintake/regions_test.go
+++ b/entry/anvilintake/regions_test.go
@@ -731,3 +731,36 @@
 		}
 	})
 }
+
+func TestWithdrawnKeyStopsEverywhere(t *testing.T) {
+	for name, c := range map[string]struct {
+		cut, alone bool
+		far        anvilintake.Result
+	}{
+		"the far region reaches the store":     {far: anvilintake.Unauthorized},
+		"it hears of the key through others":   {cut: true, far: anvilintake.Unauthorized},
+		"it is cut off from the store and all": {cut: true, alone: true, far: anvilintake.Refused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			// Guards against a key that works for longer than the bound because instances hear of changes from each other.
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, 24, 60)
+				defer f.stop()
+				if c.alone {
+					for _, in := range f.instances {
+						f.failing.Store(in.addr, silent)
+					}
+				}
+				f.cutStore("far", c.cut)
+				f.store.setConfig(simulatedPolicy(2, 1, "key-1"))
+				time.Sleep(configBound)
+				for region, want := range map[string]anvilintake.Result{"near": anvilintake.Unauthorized, "far": c.far} {
+					for _, in := range f.in(region) {
+						assertAnswer(t, in, "/q1/", "key-0", want)
+					}
+				}
+				assertAnswer(t, f.in("near")[0], "/q1/", "key-1", anvilintake.Answered)
+			})
+		})
+	}
+}
