anvilintake: let the simulated configuration's text carry its key

TestWithdrawnKeyStopsEverywhere failed as it was committed, because of the test's own parser: it gave every configuration that an instance got from another one the first key, whatever the text was. The text names queues and key now.

--- a/entry/anvilintake/regions_test.go
+++ b/entry/anvilintake/regions_test.go
@@ -105,11 +105,10 @@
 	return s.version
 }
 
-func (s *fleetStore) setConfig(p *anvilpolicy.Policy) {
+func (s *fleetStore) setConfig(version int64, queues int, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := s.bump()
-	s.configs = append(s.configs, configPage(p, v))
+	s.configs = append(s.configs, configPage(version, queues, key, s.bump()))
 }
 
 // newestConfig returns the newest configuration. The caller holds mu.
@@ -437,7 +436,7 @@
 func startFleet(t *testing.T, n, linkMbits int) *fleet {
 	t.Helper()
 	f := &fleet{store: newFleetStore(), link: &link{mbits: linkMbits}, byAddr: map[string]*instance{}}
-	f.store.setConfig(simulatedPolicy(1, 1, "key-0"))
+	f.store.setConfig(1, 1, "key-0")
 	for i := range n {
 		region := "near"
 		if i%2 == 1 {
@@ -523,7 +522,7 @@
 // series changes the configuration, changes times: each version has a queue more than the one before.
 func (f *fleet) series(acked func(version int64, at time.Time)) {
 	for v := int64(2); v <= changes+1; v++ {
-		f.store.setConfig(simulatedPolicy(v, int(v), "key-0"))
+		f.store.setConfig(v, int(v), "key-0")
 		acked(v, time.Now())
 		time.Sleep(changeGap)
 	}
@@ -752,7 +751,7 @@
 					}
 				}
 				f.cutStore("far", c.cut)
-				f.store.setConfig(simulatedPolicy(2, 1, "key-1"))
+				f.store.setConfig(2, 1, "key-1")
 				time.Sleep(configBound)
 				for region, want := range map[string]anvilintake.Result{"near": anvilintake.Unauthorized, "far": c.far} {
 					for _, in := range f.in(region) {
