anvilsoak: a region behind a narrow link, with configuration changes in series

The soak had no path with a width, so it couldn't show a link that fills up. With -link N, the store's answers to the instances of one failure domain share N Mbit/s in their proxies, a configuration of about 100 kB changes every 150 ms in series, and the run reports the bytes.

So this soak shows the bytes, not the broken rule: it has no call that an older configuration refuses.

--- a/load/anvilsoak/fleet.go
+++ b/load/anvilsoak/fleet.go
@@ -59,6 +59,8 @@
 	platform *process
 	entries  []*entryNode
 	workers  []*workerNode
+	// link carries the store's answers to the instances of farDomain; nil for no limit.
+	link *link
 	// maxLease and stopGrace are the bounds of the platform for runs.
 	maxLease, stopGrace anvilclock.Millis
 	// minLagPPM is the smallest lag of a clock that rng draws, and latePercent the percentage of the starts that every fourth
@@ -118,10 +120,10 @@
 	}
 	for i := range workers {
 		w := &workerNode{index: i}
-		if w.proxy, err = newProxy(f.addr(workerProxyHost+i, workerPort), f.addr(workerHost+i, workerPort)); err != nil {
+		if w.proxy, err = newProxy(f.addr(workerProxyHost+i, workerPort), f.addr(workerHost+i, workerPort), nil); err != nil {
 			return err
 		}
-		if w.store, err = newProxy(f.addr(storeProxyHost+i, platformPort), platformAddr); err != nil {
+		if w.store, err = newProxy(f.addr(storeProxyHost+i, platformPort), platformAddr, nil); err != nil {
 			return err
 		}
 		if f.rng != nil {
@@ -146,7 +148,11 @@
 	proxyAddr := f.addr(entryProxyHost+i, platformPort)
 	e := &entryNode{file: filepath.Join(f.dir, fmt.Sprintf("e%d.toml", i))}
 	var err error
-	if e.proxy, err = newProxy(proxyAddr, f.addr(platformHost, platformPort)); err != nil {
+	var over *link
+	if i%domainCount == farDomain {
+		over = f.link
+	}
+	if e.proxy, err = newProxy(proxyAddr, f.addr(platformHost, platformPort), over); err != nil {
 		return err
 	}
 	ip, _, err := net.SplitHostPort(f.addr(entryHost+i, 0))
@@ -158,7 +164,7 @@
 		share = 0.3
 	}
 	e.settings = anvilplatformapi.NewSettings(fmt.Sprintf("e%d", i), ip, fmt.Sprintf("d%d", i%domainCount), "r1", proxyAddr, proxyAddr, entryPort, share,
-		anvilplatformapi.WithRunBounds(f.maxLease, f.stopGrace))
+		anvilplatformapi.WithRunBounds(f.maxLease, f.stopGrace), anvilplatformapi.WithRegions(f.regions()))
 	if err := os.WriteFile(e.file, []byte(e.settings.Text()), 0o600); err != nil {
 		return err
 	}
@@ -166,6 +172,21 @@
 	return f.startEntry(e)
 }
 
+// farDomain is the failure domain whose instances reach the store over a link, if there is one.
+const farDomain = 1
+
+// regions maps the failure domains to their regions.
+func (f *fleet) regions() map[string]string {
+	out := map[string]string{}
+	for i := range domainCount {
+		out[fmt.Sprintf("d%d", i)] = "r1"
+	}
+	if f.link != nil {
+		out[fmt.Sprintf("d%d", farDomain)] = "r2"
+	}
+	return out
+}
+
 func (f *fleet) startEntry(e *entryNode) error {
 	p, err := f.spawner.start("entry", e.file+".log", []string{anvilplatformapi.SettingsVariable + "=" + e.file}, nil,
 		filepath.Join(f.bin, "anvilnode"), "serve")
--- a/load/anvilsoak/proxy.go
+++ b/load/anvilsoak/proxy.go
@@ -8,11 +8,46 @@
 	"time"
 )
 
+// link is a path of limited width that several proxies share.
+type link struct {
+	bytesPerSecond int
+
+	mu    sync.Mutex
+	until time.Time
+	bytes int64
+}
+
+func newLink(mbits int) *link { return &link{bytesPerSecond: mbits * 1_000_000 / 8} }
+
+// reserve returns how long n bytes take, behind all that was sent before.
+func (l *link) reserve(n int, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.until.Before(now) {
+		l.until = now
+	}
+	l.bytes += int64(n)
+	l.until = l.until.Add(time.Duration(n) * time.Second / time.Duration(l.bytesPerSecond))
+	return l.until.Sub(now)
+}
+
+// carried returns the number of bytes that were sent over the link; 0 for none.
+func (l *link) carried() int64 {
+	if l == nil {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes
+}
+
 // proxy forwards TCP connections from a loopback address to another and injects network faults.
 type proxy struct {
 	listener net.Listener
 	source   net.IP
 	target   string
+	// link limits the data from the target; nil for no limit.
+	link *link
 
 	mu    sync.Mutex
 	conns map[*proxiedConn]bool
@@ -30,9 +65,9 @@
 	dropping       bool
 }
 
-// newProxy listens on addr and forwards to target. Its connections to the target come from the address that it
+// newProxy listens on addr and forwards to target, over a link if there is one. Its connections to the target come from the address that it
 // listens on, so that the target can distinguish the machines.
-func newProxy(addr, target string) (*proxy, error) {
+func newProxy(addr, target string, over *link) (*proxy, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -41,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, source: net.ParseIP(host), target: target, conns: map[*proxiedConn]bool{}}
+	p := &proxy{listener: l, source: net.ParseIP(host), target: target, link: over, conns: map[*proxiedConn]bool{}}
 	go p.run()
 	return p, nil
 }
@@ -94,6 +129,9 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
+		if n > 0 && p.link != nil && !toTarget {
+			time.Sleep(p.link.reserve(n, time.Now()))
+		}
 		if n > 0 && p.forwards(pc, toTarget) {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				err = werr
--- a/load/anvilsoak/soak.go
+++ b/load/anvilsoak/soak.go
@@ -37,6 +37,8 @@
 	// ones if noFaults is set.
 	rate  int
 	fixed []Fault
+	// linkMbits is the width of the link between the store and the instances of farDomain; 0 for no limit.
+	linkMbits int
 
 	fleet    *fleet
 	audit    *audit
@@ -75,6 +77,10 @@
 // idle workers gets old.
 func WithIdle(d time.Duration) Option { return func(s *Soak) { s.idle = d } }
 
+// WithLink makes the instances of one of three failure domains another region, which the store's answers reach over a link of so
+// many Mbit/s, with a large configuration that changes in series.
+func WithLink(mbits int) Option { return func(s *Soak) { s.linkMbits = mbits } }
+
 // Sizes and times of a run.
 const (
 	defaultEntries = 4
@@ -121,6 +127,7 @@
 	starts     int
 	faults     int
 	completed  int
+	linkBytes  int64
 }
 
 // Jobs returns the number of jobs that clients tried to submit.
@@ -135,7 +142,11 @@
 
 // String returns the counts on one line.
 func (r Result) String() string {
-	return fmt.Sprintf("jobs=%d completed=%d starts=%d faults=%d violations=%d", r.jobs, r.completed, r.starts, r.faults, len(r.violations))
+	out := fmt.Sprintf("jobs=%d completed=%d starts=%d faults=%d violations=%d", r.jobs, r.completed, r.starts, r.faults, len(r.violations))
+	if r.linkBytes > 0 {
+		out += fmt.Sprintf(" link_bytes=%d", r.linkBytes)
+	}
+	return out
 }
 
 func (s *Soak) addViolation(format string, args ...any) {
@@ -158,6 +169,9 @@
 		bin: bin, dir: s.dir, net: newNetwork(), spawner: newSpawner(), audit: s.audit, latePercent: 4,
 		maxLease: anvilplatformapi.MaxLease, stopGrace: anvilplatformapi.StopGrace,
 	}
+	if s.linkMbits > 0 {
+		s.fleet.link = newLink(s.linkMbits)
+	}
 	if s.longRunning {
 		s.fleet.maxLease, s.fleet.stopGrace, s.fleet.minLagPPM, s.fleet.latePercent = shortLease, shortStopGrace, maxLagPPM/2, 0
 	}
@@ -236,6 +250,9 @@
 			}
 		})
 	}
+	if s.linkMbits > 0 {
+		injections.Go(func() { s.changeInSeries(ctx, begin) })
+	}
 	rng := rand.New(rand.NewPCG(s.seed, 1))
 	jobs := 0
 	loadCtx, cancel := context.WithTimeout(ctx, s.idle+s.length+2*finishTimeout)
@@ -311,7 +328,7 @@
 
 func (s *Soak) result(faults []Fault, jobs int) Result {
 	sleep(context.Background(), 2*reorderDelay)
-	r := Result{jobs: jobs, faults: len(faults)}
+	r := Result{jobs: jobs, faults: len(faults), linkBytes: s.fleet.link.carried()}
 	s.audit.call(func(a *audit) {
 		r.violations = append(r.violations, a.finish()...)
 		r.starts = a.starts
@@ -467,6 +484,9 @@
 		anvilplatformapi.NewQueue(quickQueue, host, prefixOf(quickQueue), pool, 0, attempts, true),
 		anvilplatformapi.NewQueue(batchQueue, host, prefixOf(batchQueue), pool, 1, attempts, false),
 	}
+	if s.linkMbits > 0 {
+		queues = append(queues, unusedQueues(c.version)...)
+	}
 	var teams []anvilplatformapi.Team
 	for i := range teamCount {
 		var keys []string
--- a/load/soak.go
+++ b/load/soak.go
@@ -30,6 +30,7 @@
 	rate    int
 	faults  string
 	logs    string
+	link    int
 }
 
 func (*soakCommand) Name() string { return "soak" }
@@ -38,7 +39,7 @@
 }
 func (*soakCommand) Usage() string {
 	return "anvilload soak [-bin DIR] [-seed N] [-seeds N] [-seconds N] [-entries N] [-workers N] [-domains] [-lasting]\n" +
-		"    [-idle N] [-rate N] [-faults LIST] [-logs DIR]\n" +
+		"    [-idle N] [-rate N] [-faults LIST] [-logs DIR] [-link N]\n" +
 		"  Runs seeds one after the other. The logs of a seed with a violation are kept.\n"
 }
 
@@ -54,14 +55,15 @@
 	f.IntVar(&c.idle, "idle", 0, "for how many seconds no job is submitted before the first fault")
 	f.IntVar(&c.rate, "rate", 0, "submit this many jobs a second of one short task each, and no random jobs and faults")
 	f.StringVar(&c.faults, "faults", "", "with -rate, the faults to inject, such as compact@285s,kill-leader@290s,slow@60s+120s,evacuate-domain@9s+20s")
+	f.IntVar(&c.link, "link", 0, "width of the link to a second region in Mbit/s, with a large configuration that changes in series; 0 for none")
 	f.StringVar(&c.logs, "logs", "", "existing directory in which the logs of all seeds are kept")
 }
 
 func (c *soakCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	if c.seeds < 1 || c.seconds < 3 || c.seconds > 600 || c.idle < 0 || c.idle > 300 || c.rate < 0 || c.rate > 200 {
-		return fail("soak", errors.New("-seeds must be positive, -seconds from 3 to 600, -idle from 0 to 300, -rate at most 200"))
+	if c.seeds < 1 || c.seconds < 3 || c.seconds > 600 || c.idle < 0 || c.idle > 300 || c.rate < 0 || c.rate > 200 || c.link < 0 {
+		return fail("soak", errors.New("-seeds must be positive, -seconds from 3 to 600, -idle from 0 to 300, -rate at most 200, -link not negative"))
 	}
 	withViolations := 0
 	for i := range c.seeds {
@@ -95,6 +97,9 @@
 		}
 		opts = append(opts, anvilsoak.WithShortJobs(c.rate), anvilsoak.WithSchedule(faults))
 	}
+	if c.link > 0 {
+		opts = append(opts, anvilsoak.WithLink(c.link))
+	}
 	if c.domains {
 		opts = append(opts, anvilsoak.WithDomainFaults())
 	}
--- a/load/soak_test.go
+++ b/load/soak_test.go
@@ -16,6 +16,12 @@
 // lossSeed is a seed that loses four workers and kills the leader beside them.
 const lossSeed = 39354
 
+// A link that carries the large configuration a few times a second, and a seed of faults beside it.
+const (
+	linkMbits = 6
+	linkSeed  = 7100
+)
+
 // Durations for which faults are injected. The faults of a seed depend on the duration.
 const (
 	shortSoak  = 5 * time.Second
@@ -51,6 +57,11 @@
 }
 
 func TestSoak(t *testing.T) {
+	t.Run("a narrow link between regions", func(t *testing.T) {
+		// Guards against a region that isn't served, or that breaks promises, while a large configuration changes in series.
+		r := runSoak(t, linkSeed, anvilsoak.WithLink(linkMbits), anvilsoak.WithSizes(6, 8), anvilsoak.WithLength(middleSoak))
+		assertNoViolations(t, r)
+	})
 	t.Run("without faults", func(t *testing.T) {
 		// Guards against jobs that are submitted but never completed by the real programs, even without faults.
 		r := runSoak(t, 1, anvilsoak.WithoutFaults(), anvilsoak.WithLength(shortSoak))
--- a/standin/anvilplatformapi/settings.go
+++ b/standin/anvilplatformapi/settings.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"anvilhold.org/lib/anvilclock"
@@ -25,6 +27,7 @@
 	firstPort                int
 	cpuShare                 float64
 	maxLease, stopGrace      anvilclock.Millis
+	regions                  map[string]string
 }
 
 // SettingsOption sets an optional property of Settings.
@@ -36,6 +39,11 @@
 	return func(s *Settings) { s.maxLease, s.stopGrace = maxLease, stopGrace }
 }
 
+// WithRegions sets the regions of the failure domains. By default the settings don't list them.
+func WithRegions(regions map[string]string) SettingsOption {
+	return func(s *Settings) { s.regions = regions }
+}
+
 // NewSettings returns the settings of an instance at an address. The instance uses six consecutive ports from firstPort:
 // one for callers, one for readiness and four internal ones. The platform and the advisor are addresses, and cpuShare is
 // the fraction of a core that the instance may use.
@@ -86,5 +94,11 @@
 	fmt.Fprintf(&b, "[bounds]\ngrace_s = %d\nmax_hold_ms = %d\nstop_grace_ms = %d\nevacuation_ms = %d\n", ShutdownGrace/1000, s.maxLease, s.stopGrace,
 		EvacuationBound)
 	fmt.Fprintf(&b, "[platform]\naddress = %q\n", s.platform)
+	if len(s.regions) > 0 {
+		b.WriteString("[zones]\n")
+	}
+	for _, domain := range slices.Sorted(maps.Keys(s.regions)) {
+		fmt.Fprintf(&b, "%s = %q\n", domain, s.regions[domain])
+	}
 	return b.String()
 }
