--- /dev/null
+++ b/review/rig-3/minion.go
@@ -0,0 +1,299 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// run is a run of a task at a minion.
+type run struct {
+	task    string
+	n       int
+	spec    string
+	pace    int
+	worked  float64 // milliseconds of work at full speed
+	workFor float64 // 0 for a run that lasts
+	failFor float64 // the work after which the run fails; 0 for never
+	ended   bool
+}
+
+type end struct {
+	n    int64
+	task string
+	run  int
+	how  string
+}
+
+// minion is a stand-in of a worker, as PROTOCOL.md describes it. The text spec of a job says how long its tasks work: "work=300", or
+// "lasts", and which of the other values apply.
+type minion struct {
+	rig     *rig
+	id      string
+	service string
+	rack    string
+	addr    string
+	srv     *http.Server
+	born    int64
+	began   time.Time
+
+	mu       sync.Mutex
+	token    int64
+	until    int64
+	runs     map[string]*run
+	barred   map[string]int // the highest run stopped or ended here
+	ends     []end
+	nextEnd  int64
+	changed  chan struct{}
+	sequence int
+	// disturbing holds, for the last half second, how many tasks that fill were at work. The tail of a task that serves is baseTail and
+	// fillTail more for each of them.
+	disturbing [25]float64
+	tick       int
+	baseTail   float64
+	// startedRuns counts the runs that were begun, by task.
+	startedRuns map[string]int
+}
+
+const (
+	maxHold  = 10_000
+	fillTail = 70.0
+	target   = 100
+)
+
+// tail returns the tail of the tasks that serve here, in milliseconds, over the last half second.
+func (m *minion) tail() float64 {
+	sum := 0.0
+	for _, n := range m.disturbing {
+		sum += n
+	}
+	return m.baseTail + fillTail*sum/float64(len(m.disturbing))
+}
+
+// observe follows how many tasks that fill are at work.
+func (m *minion) observe() {
+	filling := 0.0
+	for _, r := range m.runs {
+		if strings.Contains(r.spec, "fills") {
+			filling += float64(r.pace) / 100
+		}
+	}
+	m.tick++
+	m.disturbing[m.tick%len(m.disturbing)] = filling
+}
+
+func newMinion(r *rig, n int, service string) *minion {
+	m := &minion{rig: r, id: fmt.Sprintf("i-%04x", 0x7f30+n), service: service, rack: fmt.Sprintf("r1-%d", n/5+1), born: time.Now().UnixMilli(), began: time.Now().Add(-time.Second),
+		runs: map[string]*run{}, barred: map[string]int{}, startedRuns: map[string]int{}, changed: make(chan struct{})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	m.addr = l.Addr().String()
+	m.srv = &http.Server{Handler: m}
+	go func() { _ = m.srv.Serve(l) }()
+	m.beat("ready")
+	go m.live()
+	return m
+}
+
+func (m *minion) clock() int64 { return time.Since(m.began).Milliseconds() }
+
+func (m *minion) beat(state string) {
+	m.mu.Lock()
+	m.sequence++
+	seq := m.sequence
+	m.mu.Unlock()
+	m.rig.store.put("servers", m.id, map[string]any{
+		"service": m.service, "address": m.addr, "zone": "nyali", "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
+		"capacity": map[string]any{"cpu": 64000, "memory_request_mb": 131072, "gpu": 0}, "labels": []string{"a", m.rack},
+		"clock_ms": m.clock(), "sequence": seq, "born": m.born,
+	})
+}
+
+// live lets the runs work and renews the entry.
+func (m *minion) live() {
+	tick := time.NewTicker(20 * time.Millisecond)
+	last, beat := time.Now(), time.Now()
+	for range tick.C {
+		if m.rig.over() {
+			return
+		}
+		now := time.Now()
+		step := now.Sub(last).Seconds() * 1000
+		last = now
+		m.mu.Lock()
+		m.observe()
+		for _, r := range m.runs {
+			r.worked += step * float64(r.pace) / 100
+			switch {
+			case m.clock() >= m.until:
+				m.end(r, "lapsed")
+			case r.failFor > 0 && r.worked >= r.failFor:
+				m.end(r, "failed")
+			case r.workFor > 0 && r.worked >= r.workFor:
+				m.end(r, "done")
+			}
+		}
+		m.mu.Unlock()
+		if now.Sub(beat) >= 1500*time.Millisecond {
+			beat = now
+			m.beat("ready")
+		}
+	}
+}
+
+func (m *minion) end(r *run, how string) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	m.nextEnd++
+	m.ends = append(m.ends, end{m.nextEnd, r.task, r.n, how})
+	m.barred[r.task] = max(m.barred[r.task], r.n)
+	delete(m.runs, r.task)
+	m.rig.note("%s: run %d of %s ended %s", m.id, r.n, r.task, how)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *minion) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("Expected-Instance"); want != "" && want != m.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	var in struct {
+		Task       string `json:"task"`
+		Run        int    `json:"run"`
+		Spec       string `json:"spec"`
+		Deadline   int64  `json:"deadline_ms"`
+		Token      int64  `json:"fencing_token"`
+		Checkpoint string `json:"checkpoint"`
+		LastSeen   int64  `json:"last_seen"`
+		Wait       int64  `json:"wait_ms"`
+		Percentage int    `json:"percentage"`
+	}
+	if r.Method != http.MethodPost {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	if json.NewDecoder(r.Body).Decode(&in) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	m.mu.Lock()
+	if in.Token < m.token {
+		m.mu.Unlock()
+		reply(w, http.StatusConflict, map[string]any{"clock_ms": m.clock(), "reason": "fence"})
+		return
+	}
+	m.token = in.Token
+	status, reason := http.StatusOK, ""
+	extend := func() {
+		if in.Deadline > 0 {
+			m.until = max(m.until, min(in.Deadline, m.clock()+maxHold))
+		}
+	}
+	switch r.URL.Path {
+	case "/-/run-start":
+		old := m.runs[in.Task]
+		switch {
+		case old != nil && old.n == in.Run:
+			extend()
+		case in.Run <= m.barred[in.Task] || old != nil:
+			extend()
+			status, reason = http.StatusConflict, "old"
+		case in.Deadline <= m.clock():
+			status, reason = http.StatusConflict, "late"
+		default:
+			extend()
+			m.runs[in.Task] = &run{task: in.Task, n: in.Run, spec: in.Spec, pace: 100, workFor: specNumber(in.Spec, "work"),
+				failFor: specNumber(in.Spec, "fails")}
+			m.startedRuns[in.Task]++
+			m.rig.note("%s: start of run %d of %s, token %d, spec %q", m.id, in.Run, in.Task, in.Token, in.Spec)
+		}
+	case "/-/run-stop":
+		m.barred[in.Task] = max(m.barred[in.Task], in.Run)
+		if old := m.runs[in.Task]; old != nil && old.n <= in.Run {
+			m.end(old, "stopped")
+		}
+	case "/-/pace":
+		if old := m.runs[in.Task]; old != nil && old.n == in.Run {
+			old.pace = in.Percentage
+			m.rig.note("%s: pace of run %d of %s is %d, token %d", m.id, in.Run, in.Task, in.Percentage, in.Token)
+		}
+	case "/-/hold":
+		extend()
+		kept := m.ends[:0]
+		for _, e := range m.ends {
+			if e.n > in.LastSeen {
+				kept = append(kept, e)
+			}
+		}
+		m.ends = kept
+		if len(m.ends) == 0 && in.Wait > 0 {
+			changed := m.changed
+			m.mu.Unlock()
+			select {
+			case <-changed:
+			case <-r.Context().Done():
+				return
+			case <-time.After(time.Duration(min(in.Wait, 2000)) * time.Millisecond):
+			}
+			m.mu.Lock()
+		}
+		out := m.report()
+		m.mu.Unlock()
+		reply(w, http.StatusOK, out)
+		return
+	default:
+		status = http.StatusNotFound
+	}
+	m.mu.Unlock()
+	body := map[string]any{"clock_ms": m.clock()}
+	if reason != "" {
+		body["reason"] = reason
+	}
+	reply(w, status, body)
+}
+
+func (m *minion) report() map[string]any {
+	running, ends := [][]any{}, [][]any{}
+	for _, r := range m.runs {
+		percent, load := 0, 0
+		if r.workFor > 0 {
+			percent = int(100 * r.worked / r.workFor)
+		} else if r.worked > 100 {
+			percent = 100
+		}
+		if strings.Contains(r.spec, "serves") {
+			load = int(m.tail())
+		} else if r.pace > 0 {
+			load = 1000 * r.pace / 100
+		}
+		running = append(running, []any{r.task, r.n, "", min(percent, 100), load})
+	}
+	for _, e := range m.ends[:min(len(m.ends), 500)] {
+		ends = append(ends, []any{e.n, e.task, e.run, e.how, ""})
+	}
+	return map[string]any{"clock_ms": m.clock(), "born": m.born, "running": running, "ended_runs": ends}
+}
+
+// specNumber returns the value of NAME=VALUE in a text, 0 without it.
+func specNumber(spec, name string) float64 {
+	for _, word := range strings.Fields(spec) {
+		if text, ok := strings.CutPrefix(word, name+"="); ok {
+			if v, err := strconv.ParseFloat(text, 64); err == nil {
+				return v
+			}
+		}
+	}
+	return 0
+}
+
+func (m *minion) String() string { return fmt.Sprintf("%s at %s", m.id, m.addr) }
