review: a late start runs a finished task again while there is no leader

A start without an answer is carried out 2.8 s late by the next process of a minion, right after the leader was killed: the task had ended done, and its end was taken note of.

--- a/review/rig-3/minion.go
+++ b/review/rig-3/minion.go
@@ -43,6 +43,7 @@
 	began   time.Time
 
 	mu       sync.Mutex
+	dead     bool
 	token    int64
 	until    int64
 	runs     map[string]*run
@@ -58,6 +59,12 @@
 	baseTail   float64
 	// startedRuns counts the runs that were begun, by task.
 	startedRuns map[string]int
+	// unanswered is set while the next start is to be left without an answer; late is that order then, and lateSince when it came.
+	unanswered bool
+	late       *order
+	lateSince  time.Time
+	// noted holds the numbers of the ends that last_seen has reached.
+	noted int64
 }
 
 const (
@@ -87,10 +94,28 @@
 	m.disturbing[m.tick%len(m.disturbing)] = filling
 }
 
+// order is the body of a call to a minion.
+type order struct {
+	Task       string `json:"task"`
+	Run        int    `json:"run"`
+	Spec       string `json:"spec"`
+	Deadline   int64  `json:"deadline_ms"`
+	Token      int64  `json:"fencing_token"`
+	Checkpoint string `json:"checkpoint"`
+	LastSeen   int64  `json:"last_seen"`
+	Wait       int64  `json:"wait_ms"`
+	Percentage int    `json:"percentage"`
+}
+
 func newMinion(r *rig, n int, service string) *minion {
+	return bootMinion(r, n, service, "127.0.0.1:0")
+}
+
+// bootMinion starts a process of a minion at an address.
+func bootMinion(r *rig, n int, service, addr string) *minion {
 	m := &minion{rig: r, id: fmt.Sprintf("i-%04x", 0x7f30+n), service: service, rack: fmt.Sprintf("r1-%d", n/5+1), born: time.Now().UnixMilli(), began: time.Now().Add(-time.Second),
 		runs: map[string]*run{}, barred: map[string]int{}, startedRuns: map[string]int{}, changed: make(chan struct{})}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		panic(err)
 	}
@@ -121,7 +146,10 @@
 	tick := time.NewTicker(20 * time.Millisecond)
 	last, beat := time.Now(), time.Now()
 	for range tick.C {
-		if m.rig.over() {
+		m.mu.Lock()
+		dead := m.dead
+		m.mu.Unlock()
+		if dead || m.rig.over() {
 			return
 		}
 		now := time.Now()
@@ -167,17 +195,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	var in struct {
-		Task       string `json:"task"`
-		Run        int    `json:"run"`
-		Spec       string `json:"spec"`
-		Deadline   int64  `json:"deadline_ms"`
-		Token      int64  `json:"fencing_token"`
-		Checkpoint string `json:"checkpoint"`
-		LastSeen   int64  `json:"last_seen"`
-		Wait       int64  `json:"wait_ms"`
-		Percentage int    `json:"percentage"`
-	}
+	var in order
 	if r.Method != http.MethodPost {
 		w.WriteHeader(http.StatusOK)
 		return
@@ -192,31 +210,19 @@
 		reply(w, http.StatusConflict, map[string]any{"clock_ms": m.clock(), "reason": "fence"})
 		return
 	}
+	if r.URL.Path == "/-/run-start" && m.unanswered {
+		m.unanswered, m.late, m.lateSince = false, &in, time.Now()
+		m.rig.note("%s: the start of run %d of %s, token %d, gets no answer", m.id, in.Run, in.Task, in.Token)
+		m.mu.Unlock()
+		// The connection stays silent until the caller gives up.
+		<-r.Context().Done()
+		return
+	}
 	m.token = in.Token
 	status, reason := http.StatusOK, ""
-	extend := func() {
-		if in.Deadline > 0 {
-			m.until = max(m.until, min(in.Deadline, m.clock()+maxHold))
-		}
-	}
 	switch r.URL.Path {
 	case "/-/run-start":
-		old := m.runs[in.Task]
-		switch {
-		case old != nil && old.n == in.Run:
-			extend()
-		case in.Run <= m.barred[in.Task] || old != nil:
-			extend()
-			status, reason = http.StatusConflict, "old"
-		case in.Deadline <= m.clock():
-			status, reason = http.StatusConflict, "late"
-		default:
-			extend()
-			m.runs[in.Task] = &run{task: in.Task, n: in.Run, spec: in.Spec, pace: 100, workFor: specNumber(in.Spec, "work"),
-				failFor: specNumber(in.Spec, "fails")}
-			m.startedRuns[in.Task]++
-			m.rig.note("%s: start of run %d of %s, token %d, spec %q", m.id, in.Run, in.Task, in.Token, in.Spec)
-		}
+		status, reason = m.start(in)
 	case "/-/run-stop":
 		m.barred[in.Task] = max(m.barred[in.Task], in.Run)
 		if old := m.runs[in.Task]; old != nil && old.n <= in.Run {
@@ -228,7 +234,8 @@
 			m.rig.note("%s: pace of run %d of %s is %d, token %d", m.id, in.Run, in.Task, in.Percentage, in.Token)
 		}
 	case "/-/hold":
-		extend()
+		m.extend(in)
+		m.noted = max(m.noted, in.LastSeen)
 		kept := m.ends[:0]
 		for _, e := range m.ends {
 			if e.n > in.LastSeen {
@@ -262,6 +269,57 @@
 	reply(w, status, body)
 }
 
+// extend takes the end of the lease from an order.
+func (m *minion) extend(in order) {
+	if in.Deadline > 0 {
+		m.until = max(m.until, min(in.Deadline, m.clock()+maxHold))
+	}
+}
+
+// start carries a start out, whose token has been checked.
+func (m *minion) start(in order) (status int, reason string) {
+	old := m.runs[in.Task]
+	switch {
+	case old != nil && old.n == in.Run:
+		m.extend(in)
+	case in.Run <= m.barred[in.Task] || old != nil:
+		m.extend(in)
+		return http.StatusConflict, "old"
+	case in.Deadline <= m.clock():
+		return http.StatusConflict, "late"
+	default:
+		m.extend(in)
+		m.runs[in.Task] = &run{task: in.Task, n: in.Run, spec: in.Spec, pace: 100, workFor: specNumber(in.Spec, "work"),
+			failFor: specNumber(in.Spec, "fails")}
+		m.startedRuns[in.Task]++
+		m.rig.note("%s: start of run %d of %s, token %d, spec %q", m.id, in.Run, in.Task, in.Token, in.Spec)
+	}
+	return http.StatusOK, ""
+}
+
+// carryOut carries out an order that comes late, and reports whether it was.
+func (m *minion) carryOut(in order) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rig.note("%s: a late start of run %d of %s comes, token %d; the highest token here is %d", m.id, in.Run, in.Task, in.Token, m.token)
+	if in.Token < m.token {
+		return false
+	}
+	m.token = in.Token
+	status, _ := m.start(in)
+	return status == http.StatusOK
+}
+
+// crash ends the process. Nothing of it is left.
+func (m *minion) crash() {
+	m.rig.note("%s: crashes", m.id)
+	m.mu.Lock()
+	m.dead = true
+	m.runs = map[string]*run{}
+	m.mu.Unlock()
+	_ = m.srv.Close()
+}
+
 func (m *minion) report() map[string]any {
 	running, ends := [][]any{}, [][]any{}
 	for _, r := range m.runs {
