review: a late order on pace lets a task that fills do harm

One order on pace gets no answer and is carried out 8 s late, after newer ones. The leader's note of the share differs from the worker's from then on, and a task that serves stays over its target by the doing of the task that fills.

--- a/review/rig-3/minion.go
+++ b/review/rig-3/minion.go
@@ -57,10 +57,15 @@
 	disturbing [25]float64
 	tick       int
 	baseTail   float64
+	fillTail   float64
+	// overSince is since when the tasks that serve have been over their target while tasks that fill were at work, without a pause;
+	// zero while they aren't. longestOver is the longest such time.
+	overSince   time.Time
+	longestOver time.Duration
 	// startedRuns counts the runs that were begun, by task.
 	startedRuns map[string]int
-	// unanswered is set while the next start is to be left without an answer; late is that order then, and lateSince when it came.
-	unanswered bool
+	// unanswered is the path of the next call that is to be left without an answer; late is that order then, and lateSince when it came.
+	unanswered string
 	late       *order
 	lateSince  time.Time
 	// noted holds the numbers of the ends that last_seen has reached.
@@ -68,9 +73,8 @@
 }
 
 const (
-	maxHold  = 10_000
-	fillTail = 70.0
-	target   = 100
+	maxHold = 10_000
+	target  = 100
 )
 
 // tail returns the tail of the tasks that serve here, in milliseconds, over the last half second.
@@ -79,10 +83,10 @@
 	for _, n := range m.disturbing {
 		sum += n
 	}
-	return m.baseTail + fillTail*sum/float64(len(m.disturbing))
+	return m.baseTail + m.fillTail*sum/float64(len(m.disturbing))
 }
 
-// observe follows how many tasks that fill are at work.
+// observe follows how many tasks that fill are at work, and how long they keep those that serve over their target.
 func (m *minion) observe() {
 	filling := 0.0
 	for _, r := range m.runs {
@@ -92,6 +96,14 @@
 	}
 	m.tick++
 	m.disturbing[m.tick%len(m.disturbing)] = filling
+	switch {
+	case m.tail() <= target || filling == 0 || m.baseTail > target:
+		m.overSince = time.Time{}
+	case m.overSince.IsZero():
+		m.overSince = time.Now()
+	default:
+		m.longestOver = max(m.longestOver, time.Since(m.overSince))
+	}
 }
 
 // order is the body of a call to a minion.
@@ -114,7 +126,7 @@
 // bootMinion starts a process of a minion at an address.
 func bootMinion(r *rig, n int, service, addr string) *minion {
 	m := &minion{rig: r, id: fmt.Sprintf("i-%04x", 0x7f30+n), service: service, rack: fmt.Sprintf("r1-%d", n/5+1), born: time.Now().UnixMilli(), began: time.Now().Add(-time.Second),
-		runs: map[string]*run{}, barred: map[string]int{}, startedRuns: map[string]int{}, changed: make(chan struct{})}
+		runs: map[string]*run{}, barred: map[string]int{}, startedRuns: map[string]int{}, fillTail: 70, changed: make(chan struct{})}
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		panic(err)
@@ -210,9 +222,9 @@
 		reply(w, http.StatusConflict, map[string]any{"clock_ms": m.clock(), "reason": "fence"})
 		return
 	}
-	if r.URL.Path == "/-/run-start" && m.unanswered {
-		m.unanswered, m.late, m.lateSince = false, &in, time.Now()
-		m.rig.note("%s: the start of run %d of %s, token %d, gets no answer", m.id, in.Run, in.Task, in.Token)
+	if r.URL.Path == m.unanswered && (m.unanswered != "/-/pace" || in.Percentage == 100) {
+		m.unanswered, m.late, m.lateSince = "", &in, time.Now()
+		m.rig.note("%s: %s of run %d of %s, token %d, gets no answer", m.id, r.URL.Path, in.Run, in.Task, in.Token)
 		m.mu.Unlock()
 		// The connection stays silent until the caller gives up.
 		<-r.Context().Done()
@@ -229,10 +241,7 @@
 			m.end(old, "stopped")
 		}
 	case "/-/pace":
-		if old := m.runs[in.Task]; old != nil && old.n == in.Run {
-			old.pace = in.Percentage
-			m.rig.note("%s: pace of run %d of %s is %d, token %d", m.id, in.Run, in.Task, in.Percentage, in.Token)
-		}
+		m.setPace(in)
 	case "/-/hold":
 		m.extend(in)
 		m.noted = max(m.noted, in.LastSeen)
@@ -297,8 +306,27 @@
 	return http.StatusOK, ""
 }
 
-// carryOut carries out an order that comes late, and reports whether it was.
-func (m *minion) carryOut(in order) bool {
+func (m *minion) setPace(in order) {
+	if old := m.runs[in.Task]; old != nil && old.n == in.Run {
+		old.pace = in.Percentage
+		m.rig.note("%s: pace of run %d of %s is %d, token %d", m.id, in.Run, in.Task, in.Percentage, in.Token)
+	}
+}
+
+// pacedLate carries out an order on pace that comes late, and reports whether it was.
+func (m *minion) pacedLate(in order) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rig.note("%s: a late order on pace comes, token %d; the highest token here is %d", m.id, in.Token, m.token)
+	if in.Token < m.token {
+		return false
+	}
+	m.setPace(in)
+	return true
+}
+
+// startedLate carries out a start that comes late, and reports whether it was.
+func (m *minion) startedLate(in order) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.rig.note("%s: a late start of run %d of %s comes, token %d; the highest token here is %d", m.id, in.Run, in.Task, in.Token, m.token)
--- a/review/rig-3/twice.go
+++ b/review/rig-3/twice.go
@@ -24,7 +24,9 @@
 	time.Sleep(3 * time.Second)
 	for _, m := range r.minions {
 		m.mu.Lock()
-		m.unanswered = r.trouble
+		if r.trouble {
+			m.unanswered = "/-/run-start"
+		}
 		m.mu.Unlock()
 	}
 	c := &client{rig: r, host: host, key: "3hh2b9wu3fexd9dnn2ct"}
@@ -51,7 +53,7 @@
 	}
 	for _, m := range r.minions {
 		m.mu.Lock()
-		m.unanswered = false
+		m.unanswered = ""
 		m.mu.Unlock()
 	}
 	task := fmt.Sprintf("%s.0.0.0", id)
@@ -98,7 +100,7 @@
 	next := bootMinion(r, at, "huvo11a", old.addr)
 	r.minions[at] = next
 	time.Sleep(30 * time.Millisecond)
-	taken := next.carryOut(late)
+	taken := next.startedLate(late)
 	leader.start()
 	time.Sleep(6 * time.Second)
 	next.mu.Lock()
